--- /dev/null
+++ b/cmake/pistachio.cmake
@@ -0,0 +1,71 @@
+# Helpers that declare the libraries, test programs and benchmarks of the tree.
+
+add_library(pistachio_options INTERFACE)
+target_compile_options(pistachio_options INTERFACE -Wall -Wextra)
+if(PISTACHIO_WERROR)
+  target_compile_options(pistachio_options INTERFACE -Werror)
+endif()
+if(PISTACHIO_SANITIZE)
+  target_compile_options(pistachio_options INTERFACE
+    -fsanitize=${PISTACHIO_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer -g1)
+  target_link_options(pistachio_options INTERFACE -fsanitize=${PISTACHIO_SANITIZE})
+endif()
+if(PISTACHIO_FUZZ)
+  target_compile_options(pistachio_options INTERFACE -fsanitize=fuzzer-no-link)
+endif()
+
+# pistachio_library(NAME DIR [DEPENDS ...]): a static library of every source below DIR.
+function(pistachio_library name dir)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${dir}/*.cc)
+  if(NOT sources)
+    add_library(pistachio_${name} INTERFACE)
+    target_link_libraries(pistachio_${name} INTERFACE ${ARG_DEPENDS})
+    return()
+  endif()
+  add_library(pistachio_${name} STATIC ${sources})
+  add_library(pistachiostall::${name} ALIAS pistachio_${name})
+  set_target_properties(pistachio_${name} PROPERTIES EXPORT_NAME ${name})
+  target_include_directories(pistachio_${name} PUBLIC
+    $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}> $<INSTALL_INTERFACE:include>)
+  target_link_libraries(pistachio_${name} PUBLIC ${ARG_DEPENDS} PRIVATE $<BUILD_INTERFACE:pistachio_options>)
+  set_property(GLOBAL APPEND PROPERTY PISTACHIO_LIBRARIES pistachio_${name})
+endfunction()
+
+# pistachio_test(NAME [DEPENDS ...]): the one test program of a library, from tests/NAME/*.cc.
+function(pistachio_test name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(test_${name} ${sources} $<TARGET_OBJECTS:pistachio_catch_main>)
+  target_include_directories(test_${name} PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(test_${name} PRIVATE ${ARG_DEPENDS} Catch2::Catch2 rapidcheck pistachio_options)
+  add_test(NAME ${name} COMMAND test_${name} --rng-seed 1)
+  # RapidCheck reads its seed from the environment; a fixed one gives the same cases in every run.
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
+
+# pistachio_bench(NAME [DEPENDS ...]): a benchmark program from bench/NAME/*.cc.
+function(pistachio_bench name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(bench_${name} ${sources})
+  target_include_directories(bench_${name} PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(bench_${name} PRIVATE ${ARG_DEPENDS} gflags fmt::fmt pistachio_options)
+endfunction()
+
+# pistachio_fuzzer(NAME [DEPENDS ...]): a libFuzzer program from tests/fuzz/NAME_fuzz.cc.
+function(pistachio_fuzzer name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  if(NOT PISTACHIO_FUZZ OR NOT EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/fuzz/${name}_fuzz.cc)
+    return()
+  endif()
+  add_executable(fuzz_${name} fuzz/${name}_fuzz.cc)
+  target_include_directories(fuzz_${name} PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(fuzz_${name} PRIVATE ${ARG_DEPENDS} pistachio_options -fsanitize=fuzzer)
+endfunction()
--- /dev/null
+++ b/pistachio/connection/lease.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// \brief Lease module: who lives, who owns what, and until when each may act.
+///
+/// - lease/membership.h: roster, vouched leases, unit ownership and the division of slots
+
+#include "pistachio/connection/lease/membership.h"
--- /dev/null
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pistachio {
+
+/// \brief Number of a logged event. Numbers are never reused; docs/EVENTS.md is the catalogue.
+///
+/// Ranges: 1000 process, 2000 membership, ownership and ledger, 3000 tasks and placement,
+/// 4000 requests and routing, 5000 settings, 6000 interference policy.
+enum class EventCode : int {
+  // 1000: process (events/process_events.cc)
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kStoreUnreachable = 1004,
+  kStoreReachable = 1005,
+  kBadInput = 1006,
+  kPeerConnected = 1007,
+  kPeerLost = 1008,
+
+  // 2000: membership, ownership and ledger (events/membership_events.cc)
+
+  // 3000: tasks and placement (events/task_events.cc)
+
+  // 4000: requests and routing (events/request_events.cc)
+
+  // 5000: settings (events/settings_events.cc)
+
+  // 6000: interference policy (events/policy_events.cc)
+};
+
+/// \brief How urgent an event is to an operator.
+enum class Severity { kInfo, kWarning, kError };
+
+/// \brief One row of the catalogue.
+struct EventDescription {
+  EventCode code;
+  Severity severity;
+  const char* name;     ///< short, lower-case, with dashes
+  const char* meaning;  ///< what happened and, from warnings up, what an operator does
+};
+
+namespace internal {
+
+// Each area keeps its own rows beside its own code range, so that areas grow apart.
+const std::vector<EventDescription>& ProcessEvents();
+const std::vector<EventDescription>& MembershipEvents();
+const std::vector<EventDescription>& TaskEvents();
+const std::vector<EventDescription>& RequestEvents();
+const std::vector<EventDescription>& SettingsEvents();
+const std::vector<EventDescription>& PolicyEvents();
+
+}  // namespace internal
+
+/// \returns every event, by rising number.
+const std::vector<EventDescription>& EventCatalogue();
+
+/// \returns the row of \a code, or nothing if the catalogue lacks it.
+std::optional<EventDescription> FindEvent(EventCode code);
+
+/// \brief One event as decided by pure code, to be written by whoever carries out its actions.
+struct EventRecord {
+  EventCode code;
+  std::vector<std::pair<std::string, std::string>> fields;
+
+  /// \returns `name=value` pairs after the number and the name, values quoted where needed.
+  std::string str() const;
+};
+
+}  // namespace pistachio
--- /dev/null
+++ b/pistachio/process/runtime/events/settings_events.cc
@@ -0,0 +1,10 @@
+#include "pistachio/process/runtime/event_catalogue.h"
+
+namespace pistachio::internal {
+
+const std::vector<EventDescription>& SettingsEvents() {
+  static const std::vector<EventDescription> kEvents = {};
+  return kEvents;
+}
+
+}  // namespace pistachio::internal
--- /dev/null
+++ b/pistachio/process/runtime/resources.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace pistachio {
+
+/// \brief An amount of a host's resources: what a task declares or a target has.
+struct Resources {
+  std::int64_t cpu_millis = 0;    ///< thousandths of a processor core
+  std::int64_t memory_mib = 0;    ///< mebibytes
+  std::int64_t accelerators = 0;  ///< whole devices
+
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend bool operator==(const Resources& a, const Resources& b) {
+    return a.cpu_millis == b.cpu_millis && a.memory_mib == b.memory_mib &&
+           a.accelerators == b.accelerators;
+  }
+  friend bool operator!=(const Resources& a, const Resources& b) { return !(a == b); }
+
+  /// \returns true if every dimension of this amount is at most that of \a capacity.
+  bool FitsIn(const Resources& capacity) const;
+
+  /// \returns text such as `500m/1024MiB/0acc`.
+  std::string str() const;
+};
+
+}  // namespace pistachio
--- /dev/null
+++ b/pistachio/version/settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pistachio/process/runtime/clock.h"
+#include "pistachio/process/runtime/ids.h"
+#include "pistachio/process/tasks/types.h"
+
+namespace pistachio {
+
+/// \brief Name of the root subtree, whose limits bound every team's.
+constexpr const char* kRootSubtree = "root";
+
+/// \brief Why a document was refused, at one place.
+struct SettingsError {
+  std::string file;
+  std::uint32_t line = 0;  ///< 0 if the whole document is meant
+  std::string key;
+  std::string problem;        ///< what is wrong, and what to write
+  std::string allowed_range;  ///< with units; empty if it does not apply
+
+  /// \returns `file:line: key: problem (allowed: range)`.
+  std::string str() const;
+};
+
+/// \brief One accepted version of one subtree.
+struct SubtreeVersion {
+  std::string subtree;        ///< `root`, or a team's name
+  std::uint64_t version = 0;  ///< grows by one with each accepted change
+  std::string change_id;      ///< unique to the change
+  std::string document;       ///< TOML
+};
+
+/// \brief What one team's subtree says, inherited defaults filled in.
+struct TeamSettings {
+  TeamId team;
+  Resources quota;
+  std::int32_t max_priority = 0;
+  std::vector<JobSpec> services;  ///< standing services of the team
+};
+
+}  // namespace pistachio
--- /dev/null
+++ b/tests/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/runtime/event_catalogue_test.cc
@@ -0,0 +1,25 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "pistachio/process/runtime.h"
+
+namespace pistachio {
+namespace {
+
+TEST_CASE("event numbers rise and names are unique", "[events]") {
+  std::set<std::string> names;
+  int last_number = 0;
+  for (const EventDescription& row : EventCatalogue()) {
+    REQUIRE(static_cast<int>(row.code) > last_number);
+    last_number = static_cast<int>(row.code);
+    REQUIRE(names.insert(row.name).second);
+  }
+}
+
+TEST_CASE("an event line quotes values with spaces and quotes", "[events]") {
+  const EventRecord record{EventCode::kBadInput, {{"from", "a b"}, {"text", "say \"x\""}}};
+  REQUIRE(record.str() == "E1006 bad-input from=\"a b\" text=\"say \\\"x\\\"\"");
+}
+
+}  // namespace
+}  // namespace pistachio
