Policy: Place, Learn and React for the simple policies, with best fit and two choices

Cause: the rack controller links against the three operations, which had no definitions. Change: random, round robin, least committed, best fit and two choices, all behind one check of the hard bound (committed + declared <= capacity in every dimension). Simple policies learn nothing and never react. A RapidCheck property holds each of them to the bound.

--- a/pistachio/process/policy/policy.h
+++ b/pistachio/process/policy/policy.h
@@ -1,32 +1,19 @@
 #pragma once
 
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
+#include "pistachio/process/policy/simple_policies.h"
 #include "pistachio/process/policy/types.h"
-#include "pistachio/process/runtime/random.h"
 
 namespace pistachio {
 
-/// \brief Places on any feasible target, each as likely.
-struct RandomPolicy {
-  RandomSource random;
-};
-
-/// \brief Places on feasible targets in turn.
-struct RoundRobinPolicy {
-  std::size_t next = 0;
-};
-
-/// \brief Places where the largest committed share after placing is smallest.
-struct LeastCommittedPolicy {};
-
-/// \brief A placement policy: which of the feasible targets a task goes to.
+/// \brief A placement policy: which of the targets with room a task goes to.
 ///
 /// The alternatives share one interface through `Place`, `Learn` and `React`.
-using Policy = std::variant<RandomPolicy, RoundRobinPolicy, LeastCommittedPolicy>;
+using Policy = std::variant<RandomPolicy, RoundRobinPolicy, LeastCommittedPolicy, BestFitPolicy,
+                            TwoChoicesPolicy>;
 
 /// \brief Picks a target for a task among \a targets that have room for it.
 ///
