Request broker: ids, home memory, queue, slots, attempts and outcomes

Cause: the daemon needs a broker to be joined to.

Change: RequestBroker with a home table (a non-idempotent id is let through at most once), one queue for each service by earliest deadline first with fairness between callers, slots that are held until an attempt has ended, retries and hedges under one budget, adaptive limits and ejection of outliers, and a log record for each decision.

Changes to the header given: a waiting caller has an ArrivalNumber (RequestArrived, CallerLeft, CompleteRequest), since two callers may wait for one id and one of them may be told earlier; RequestSpec.first_use says that the id was handed out for this very arrival, without which a refusal of an idempotent request is `outcome unknown` (an earlier try may have gone to another entry host); OutcomeKind::kAnsweredBefore for an id that ran and whose answer is not kept; the constructor takes the data centre, the member and the start time; IssueId hands ids out; RouteOfId decides where an id belongs; HttpStatusOf and RetryAfterOf for the answer.

--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -27,6 +27,17 @@
   // 3000: tasks and placement (events/task_events.cc)
 
   // 4000: requests and routing (events/request_events.cc)
+  kRequestRouted = 4001,
+  kRequestQueued = 4002,
+  kRequestRefused = 4003,
+  kRequestFinished = 4004,
+  kRequestJoined = 4005,
+  kAnswerDropped = 4006,
+  kTargetEjected = 4007,
+  kTargetProbed = 4008,
+  kTargetRecovered = 4009,
+  kEjectionBoundReached = 4010,
+  kSlotReleasedByBound = 4011,
 
   // 5000: settings (events/settings_events.cc)
 
--- a/pistachio/request/types.h
+++ b/pistachio/request/types.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "pistachio/process/runtime/clock.h"
@@ -29,9 +31,13 @@
   }
 };
 
-/// \brief Reads an id. \returns nothing if \a text is not one.
+/// \brief Reads what RequestId::str writes; the data centre's name holds no dot.
+/// \returns nothing if \a text is not an id.
 std::optional<RequestId> ParseRequestId(const std::string& text);
 
+/// \brief Number of one waiting caller of an entry host; several may wait for the same request id.
+using ArrivalNumber = std::uint64_t;
+
 /// \brief A request as its entry host sees it; the body stays with the traffic threads.
 struct RequestSpec {
   RequestId id;
@@ -39,6 +45,8 @@
   ServiceId service;
   TimePoint deadline;
   bool idempotent = false;
+  /// The id was handed out for this very arrival, so no earlier try of it can exist anywhere.
+  bool first_use = false;
 };
 
 /// \brief What a caller is told.
@@ -47,12 +55,13 @@
   kNotRun,          ///< this request was not run and will not be; it may be sent again
   kUnknown,         ///< it may have run; asking again with the same id is safe
   kDeadlinePassed,  ///< idempotent work ran out of time; it may have run
+  kAnsweredBefore,  ///< it ran once and was answered before; the answer is not kept
 };
 
 /// \returns the outcome's name in the API, such as `not-run`.
 const char* NameOf(OutcomeKind kind);
 
-/// \brief Outcome of a request with its reason.
+/// \brief Outcome of a request with its reason, one of request/outcome_reasons.h.
 struct Outcome {
   OutcomeKind kind = OutcomeKind::kUnknown;
   std::string reason;
@@ -81,3 +90,15 @@
 };
 
 }  // namespace pistachio
+
+namespace std {
+
+template <>
+struct hash<pistachio::RequestId> {
+  size_t operator()(const pistachio::RequestId& id) const noexcept {
+    constexpr size_t kMixer = 0x9e3779b97f4a7c15U;
+    return (id.number * kMixer) ^ id.home.incarnation;
+  }
+};
+
+}  // namespace std
