Lease and ledger: a small whole version behind the headers

Cause: the daemon needs membership, unit ownership and the ledger to be joined to. Types moved to member_types.h and ledger_types.h.

--- a/pistachio/connection/lease/membership.h
+++ b/pistachio/connection/lease/membership.h
@@ -8,118 +8,56 @@
 #include <variant>
 #include <vector>
 
-#include "pistachio/connection/store/calls.h"
-#include "pistachio/process/runtime/clock.h"
-#include "pistachio/process/runtime/event_catalogue.h"
-#include "pistachio/process/runtime/ids.h"
+#include "pistachio/connection/lease/member_types.h"
+#include "pistachio/connection/lease/own_lease.h"
+#include "pistachio/connection/lease/peer_table.h"
+#include "pistachio/connection/lease/records.h"
+#include "pistachio/connection/lease/slot_division.h"
+#include "pistachio/connection/lease/unit_table.h"
 
 namespace pistachio {
 
-/// \brief Terms of a member's lease, equal on every entry host of a data centre.
-struct LeaseTiming {
-  Duration term = std::chrono::seconds(9);
-  Duration renew_every = std::chrono::seconds(3);
-  Duration heartbeat_every = std::chrono::seconds(1);
-  Duration drift_margin = std::chrono::milliseconds(500);
-  Duration store_timeout = std::chrono::seconds(2);
-  Duration gone_roster_bound = std::chrono::minutes(2);  ///< wait when a whole roster is gone
-};
-
-/// \brief The members of a data centre; written by compare-and-swap, the version only grows.
-struct Roster {
-  std::uint64_t version = 0;
-  std::vector<MemberId> members;
-};
-
-/// \brief Sent to every peer of the data centre once in a heartbeat interval.
-struct Heartbeat {
-  MemberId from;
-  std::uint64_t sequence = 0;
-  std::uint64_t roster_version = 0;
-  bool leaving = false;
-};
-/// \brief Asks a peer not to expel the sender for a lease term.
-struct VouchRequest {
-  MemberId holder;
-  std::uint64_t sequence = 0;
-};
-/// \brief Promises not to expel \a holder for \a valid_for, counted from when the request was sent.
-struct VouchPromise {
-  MemberId voucher;
-  MemberId holder;
-  std::uint64_t sequence = 0;
-  Duration valid_for{0};
-};
-
-/// \brief A message between the members of a data centre.
-using MemberMessage = std::variant<Heartbeat, VouchRequest, VouchPromise>;
-
-// ---- Events.
+namespace internal {
 
-struct MemberTick {};
-struct MemberStoreAnswered {
-  std::uint64_t call = 0;
-  StoreReply reply;
+struct RenewalSent {
+  MemberRecord record;
 };
-struct MemberMessageReceived {
-  MemberMessage message;
+struct RosterWriteSent {
+  Roster roster;
 };
-/// \brief The platform's lagging list of entry hosts of this data centre.
-struct EntryHostsListed {
-  std::vector<HostId> live;
+struct MembersListSent {};
+struct UnitsListSent {};
+struct UnitGetSent {
+  UnitId unit;
 };
-/// \brief The process is stopping: hand every unit over, then release the lease.
-struct LeaveRequested {};
-/// \brief Units that have to have an owner in this data centre.
-struct UnitsListed {
-  std::vector<UnitId> units;
+struct UnitWriteSent {
+  UnitWrite write;
 };
-/// \brief The owner has finished what a unit needs before it is handed over.
-struct UnitDrained {
-  UnitId unit;
+struct ExpelSent {
+  MemberId member;
+  std::uint64_t version = 0;
 };
+struct RecordDeleteSent {};
 
-using MembershipEvent = std::variant<MemberTick, MemberStoreAnswered, MemberMessageReceived,
-                                     EntryHostsListed, LeaveRequested, UnitsListed, UnitDrained>;
+/// \brief What a store call of a member is for.
+using MemberCall = std::variant<RenewalSent, RosterWriteSent, MembersListSent, UnitsListSent,
+                                UnitGetSent, UnitWriteSent, ExpelSent, RecordDeleteSent>;
 
-// ---- Actions.
-
-struct MemberCallStore {
-  std::uint64_t call_id = 0;
-  StoreRole role = StoreRole::kMembership;
-  StoreCall call;
-};
-struct SendMemberMessage {
-  HostId to;
-  MemberMessage message;
-};
-/// \brief This member owns \a unit under \a epoch from now on.
-struct UnitAcquired {
-  UnitId unit;
-  Epoch epoch = 0;
-};
-/// \brief This member has to finish with \a unit, then to answer with UnitDrained.
-struct UnitDraining {
-  UnitId unit;
-};
-/// \brief This member does not own \a unit any more and must not act on it.
-struct UnitLost {
-  UnitId unit;
-};
-/// \brief Every unit is handed over and the lease released; the process may exit.
-struct LeaveFinished {};
-struct MemberReport {
-  EventRecord event;
+struct PendingMemberCall {
+  MemberCall purpose;
+  TimePoint expires;
 };
 
-using MembershipAction = std::variant<MemberCallStore, SendMemberMessage, UnitAcquired,
-                                      UnitDraining, UnitLost, LeaveFinished, MemberReport>;
+}  // namespace internal
 
 /// \brief Membership, lease and unit ownership of one entry host in its data centre.
 ///
 /// The lease is one record for each member; unit records name the owner and a fencing epoch. While
 /// the key-value service is away, the lease is extended by promises of every other member of the
 /// roster not to expel this one. Pure: events in, actions out.
+///
+/// \pre \a now is read after the event arrived, from one clock that never goes back.
+/// \pre a host starts a member only once its earlier member's process has ended.
 class Membership {
  public:
   /// \param peers addresses of the data centre's configured entry hosts, this one left out
@@ -129,22 +67,140 @@
   std::vector<MembershipAction> Handle(const MembershipEvent& event, TimePoint now);
 
   /// \returns until when this member may act on the units it owns; in the past if it may not.
-  TimePoint act_until() const;
+  TimePoint act_until() const { return this->lease.act_until(); }
 
   /// \returns the roster that this member acts under.
-  const Roster& roster() const;
+  const Roster& roster() const { return this->known_roster; }
 
   /// \returns the units owned, with their epochs.
-  const std::map<UnitId, Epoch>& owned() const;
+  const std::map<UnitId, Epoch>& owned() const { return this->units.owned(); }
 
   /// \returns who owns a unit as far as is known, for sending messages to it.
-  std::optional<HostId> OwnerOf(const UnitId& unit) const;
+  std::optional<HostId> OwnerOf(const UnitId& unit) const { return this->units.OwnerOf(unit); }
 
   /// \brief Slot indices of a target that this member may use, of \a slots in all.
   ///
   /// Slots are divided over the roster by rendezvous hashing; no slot is usable by two members,
   /// also while the roster changes. \returns how many slots this member may use now.
   std::uint32_t UsableSlots(const TargetId& target, std::uint32_t slots, TimePoint now) const;
-};
+
+ private:
+  using Actions = std::vector<MembershipAction>;
+
+  // Events (membership.cc).
+  void On(const MemberTick& tick, TimePoint now);
+  void On(const MemberStoreAnswered& answer, TimePoint now);
+  void On(const MemberMessageReceived& received, TimePoint now);
+  void On(const EntryHostsListed& listed, TimePoint now);
+  void On(const LeaveRequested& request, TimePoint now);
+  void On(const UnitsListed& listed, TimePoint now);
+  void On(const UnitDrained& drained, TimePoint now);
+  void On(const OperatorRelease& release, TimePoint now);
+  void OnMessage(const Heartbeat& heartbeat, TimePoint now);
+  void OnMessage(const VouchRequest& request, TimePoint now);
+  void OnMessage(const VouchPromise& promise, TimePoint now);
+  void OnMessage(const UnitMoved& moved, TimePoint now);
+
+  // Replies to store calls (membership_replies.cc).
+  void OnReply(const internal::RenewalSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::RosterWriteSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::MembersListSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::UnitsListSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::UnitGetSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::UnitWriteSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::ExpelSent& sent, const StoreReply& reply, TimePoint now);
+  void OnReply(const internal::RecordDeleteSent& sent, const StoreReply& reply, TimePoint now);
+  void OnRenewed(const internal::MemberRecord& record, std::uint64_t version, TimePoint now);
+  void OnRenewalFailed(TimePoint now);
+  void OnLeft(TimePoint now);
+  void OnSelfExpelled();
+  void AdoptRoster(const Roster& roster, std::uint64_t version, TimePoint now);
+  void CheckOwnRecord(TimePoint now);
+  void AdoptRecords(const StoreReply& reply, TimePoint now);
+  void ReadUnit(const StoreEntry& entry);
+  void EmitUnitChange(const UnitId& unit, internal::UnitChange change);
+
+  // Decisions that time brings (membership_decisions.cc).
+  void ExpireCalls(TimePoint now);
+  void SendHeartbeats(TimePoint now);
+  void Renew(TimePoint now);
+  void Vouch(TimePoint now);
+  void Refresh(TimePoint now);
+  void UpdateRoster(TimePoint now);
+  void Expel(TimePoint now);
+  void DeleteGoneRecords(TimePoint now);
+  void DecideUnits(TimePoint now);
+  void Rebalance(TimePoint now);
+  void FinishLeaving(TimePoint now);
+  void ReportLease(TimePoint now);
+  std::vector<MemberId> EligibleOwners() const;
+  std::vector<MemberId> HeardMembers(TimePoint now) const;
+  MemberId SuccessorOf(const UnitId& unit) const;
+  void WriteUnit(const internal::UnitWrite& write, TimePoint now);
+  bool IsActive(TimePoint now) const { return now < this->act_until(); }
+  bool IsMember() const { return this->known_roster.Holds(this->self); }
+  bool IsFirstFor(const MemberId& about, TimePoint now) const;
+  Duration Jitter(Duration bound);
+
+  void Call(StoreRole role, const StoreCall& call, const internal::MemberCall& purpose,
+            TimePoint now);
+  template <class Purpose>
+  bool IsPending() const;
+  void Send(const HostId& to, const MemberMessage& message);
+  void Broadcast(const MemberMessage& message);
+  void Report(EventCode code, std::vector<std::pair<std::string, std::string>> fields);
+
+  MemberId self;
+  std::vector<HostId> peers;
+  LeaseTiming timing;
+  internal::LeaseKeys keys;
+  internal::OwnLease lease;
+  internal::PeerTable table;
+  internal::UnitTable units;
+  internal::SlotDivision division;
+
+  Roster known_roster;
+  std::uint64_t roster_key_version = 0;
+  std::uint64_t record_version = 0;  ///< of this member's own record; 0 before it is written
+  std::uint64_t record_roster = 0;   ///< roster version that the own record names for sure
+  bool records_read = false;
+  bool ended = false;
+  bool leaving = false;
+  bool left = false;
+  bool renewal_failing = false;
+  bool need_members = true;
+  bool need_units = true;
+  bool units_read = false;
+  bool units_before_members = false;  ///< the units were listed since the last list of members
+  bool decide_units = false;
+
+  TimePoint next_heartbeat;
+  TimePoint next_renewal;
+  TimePoint next_vouch;
+  TimePoint next_list;
+  TimePoint next_refresh;
+  TimePoint next_watch;
+  TimePoint legit_until{};  ///< latest end of a right to act that this member ever had
+  bool reported_active = false;
+  bool reported_vouched = false;
+  std::uint64_t heartbeat_sequence = 0;
+  std::uint64_t jitter_sequence = 0;
+  std::uint64_t last_call = 0;
+  std::map<std::uint64_t, internal::PendingMemberCall> calls;
+  std::set<MemberId> expel_calls;
+  std::vector<UnitMoved> recent_moves;  // repeated with a few heartbeats, since messages get lost
+  int move_repeats = 0;
+  Actions actions;
+};
+
+template <class Purpose>
+bool Membership::IsPending() const {
+  for (const auto& [id, call] : this->calls) {
+    if (std::holds_alternative<Purpose>(call.purpose)) {
+      return true;
+    }
+  }
+  return false;
+}
 
 }  // namespace pistachio
--- a/pistachio/process/ledger.h
+++ b/pistachio/process/ledger.h
@@ -1,8 +1,10 @@
 #pragma once
 
 /// \file
-/// \brief Ledger module: a fenced, group-committed log in the key-value service.
+/// \brief Ledger module: a unit's durable, fenced log in the key-value service.
 ///
-/// - ledger/ledger.h: the ring of deltas, its snapshot and its fence
+/// - ledger/ledger_types.h: limits, events and actions
+/// - ledger/ledger.h: the ring of batches, its fence, group commit and snapshots
 
 #include "pistachio/process/ledger/ledger.h"
+#include "pistachio/process/ledger/ledger_types.h"
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -23,6 +23,23 @@
   kPeerLost = 1008,
 
   // 2000: membership, ownership and ledger (events/membership_events.cc)
+  kRosterChanged = 2001,
+  kPeerExpelled = 2002,
+  kSelfExpelled = 2003,
+  kMemberLeft = 2004,
+  kLeaseHeld = 2005,
+  kLeaseLapsed = 2006,
+  kLeaseVouched = 2007,
+  kVouchRefused = 2008,
+  kUnitAcquired = 2009,
+  kUnitHandedOver = 2010,
+  kSlotsSettled = 2011,
+  kLedgerRecovered = 2101,
+  kLedgerFenced = 2102,
+  kLedgerSnapshotWritten = 2103,
+  kLedgerWriteInDoubt = 2104,
+  kLedgerDamaged = 2105,
+  kLedgerRecordTooLarge = 2106,
 
   // 3000: tasks and placement (events/task_events.cc)
 
--- /dev/null
+++ b/tests/lease/membership_test.cc
@@ -0,0 +1,132 @@
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "pistachio/connection/lease.h"
+#include "pistachio/connection/store.h"
+
+namespace pistachio {
+namespace {
+
+const DataCentreId kDataCentre("waikato");
+const UnitId kRack("rack-1");
+
+/// \brief One member on a shared store, with every message delivered at once.
+struct Member {
+  Member(const std::string& host, std::uint64_t incarnation, std::vector<HostId> peers,
+         TimePoint now)
+      : id{HostId(host), incarnation},
+        logic(kDataCentre, id, std::move(peers), LeaseTiming{}, now) {}
+
+  MemberId id;
+  Membership logic;
+  bool running = true;
+};
+
+struct Cluster {
+  FakeStore store;
+  TimePoint now{std::chrono::hours(1)};
+  std::deque<Member> members;
+  StoreFault fault = StoreFault::kNone;
+
+  void Feed(Member* member, const MembershipEvent& event) {
+    for (const MembershipAction& action : member->logic.Handle(event, this->now)) {
+      if (const auto* call = std::get_if<MemberCallStore>(&action)) {
+        const StoreReply reply = this->store.Call(call->call, this->fault);
+        this->Feed(member, MemberStoreAnswered{call->call_id, reply});
+      } else if (const auto* message = std::get_if<SendMemberMessage>(&action)) {
+        this->Deliver(*message);
+      } else if (const auto* draining = std::get_if<UnitDraining>(&action)) {
+        this->Feed(member, UnitDrained{draining->unit});
+      }
+    }
+  }
+
+  void Deliver(const SendMemberMessage& message) {
+    for (Member& member : this->members) {
+      if (member.running && member.id.host == message.to) {
+        this->Feed(&member, MemberMessageReceived{message.message});
+      }
+    }
+  }
+
+  void Run(Duration time) {
+    constexpr Duration kStep = std::chrono::milliseconds(100);
+    for (Duration done{0}; done < time; done += kStep) {
+      this->now += kStep;
+      for (Member& member : this->members) {
+        if (member.running) {
+          this->Feed(&member, MemberTick{});
+        }
+      }
+    }
+  }
+
+  Member& Add(const std::string& host, std::uint64_t incarnation, std::vector<HostId> peers) {
+    this->members.emplace_back(host, incarnation, std::move(peers), this->now);
+    this->Feed(&this->members.back(), UnitsListed{{kRack, UnitId("rack-2"), UnitId("rack-3")}});
+    return this->members.back();
+  }
+};
+
+TEST_CASE("a lone member joins, claims every unit under epoch 1 and may act", "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {});
+  cluster.Run(std::chrono::seconds(3));
+  REQUIRE(a.logic.roster().members == std::vector<MemberId>{a.id});
+  REQUIRE(a.logic.owned().size() == 3);
+  REQUIRE(a.logic.owned().at(kRack) == 1);
+  REQUIRE(a.logic.act_until() > cluster.now);
+}
+
+TEST_CASE("units move to a joiner by handover, and all go to the survivor of a leaver", "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {HostId("b")});
+  cluster.Run(std::chrono::seconds(3));
+  Member& b = cluster.Add("b", 1, {HostId("a")});
+  cluster.Run(std::chrono::seconds(10));
+  REQUIRE(a.logic.owned().size() + b.logic.owned().size() == 3);
+  REQUIRE(!b.logic.owned().empty());
+  cluster.Feed(&a, LeaveRequested{});
+  cluster.Run(std::chrono::seconds(5));
+  REQUIRE(a.logic.owned().empty());
+  REQUIRE(b.logic.owned().size() == 3);
+  REQUIRE(b.logic.roster().members == std::vector<MemberId>{b.id});
+}
+
+TEST_CASE("a dead member's units are taken under a later epoch, only after its term", "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {HostId("b")});
+  Member& b = cluster.Add("b", 1, {HostId("a")});
+  cluster.Run(std::chrono::seconds(10));
+  a.running = false;
+  const TimePoint a_until = a.logic.act_until();
+  const std::size_t owned_before = b.logic.owned().size();
+  while (b.logic.owned().size() == owned_before &&
+         cluster.now < a_until + std::chrono::minutes(1)) {
+    cluster.Run(std::chrono::milliseconds(100));
+  }
+  REQUIRE(cluster.now > a_until);
+  cluster.Run(std::chrono::seconds(5));
+  REQUIRE(b.logic.owned().size() == 3);
+  for (const auto& [unit, epoch] : a.logic.owned()) {
+    REQUIRE(b.logic.owned().at(unit) > epoch);
+  }
+}
+
+TEST_CASE("with the service away the lease holds by the peers' promises, until one is silent",
+          "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {HostId("b")});
+  Member& b = cluster.Add("b", 1, {HostId("a")});
+  cluster.Run(std::chrono::seconds(10));
+  cluster.fault = StoreFault::kDown;
+  cluster.Run(std::chrono::minutes(5));
+  REQUIRE(a.logic.act_until() > cluster.now);
+  REQUIRE(b.logic.act_until() > cluster.now);
+  b.running = false;
+  cluster.Run(LeaseTiming{}.term);
+  REQUIRE(a.logic.act_until() <= cluster.now);
+}
+
+}  // namespace
+}  // namespace pistachio
