--- a/pistachio/connection/lease/membership.cc
+++ b/pistachio/connection/lease/membership.cc
@@ -7,7 +7,7 @@
 
 namespace pistachio {
 
-Membership::Membership(DataCentreId data_centre, MemberId self, std::vector<HostId> peers,
+Membership::Membership(const DataCentreId& data_centre, MemberId self, std::vector<HostId> peers,
                        const LeaseTiming& timing, TimePoint now)
     : self(std::move(self)),
       peers(std::move(peers)),
--- a/pistachio/connection/lease/membership.h
+++ b/pistachio/connection/lease/membership.h
@@ -61,7 +61,7 @@
 class Membership {
  public:
   /// \param peers addresses of the data centre's configured entry hosts, this one left out
-  Membership(DataCentreId data_centre, MemberId self, std::vector<HostId> peers,
+  Membership(const DataCentreId& data_centre, MemberId self, std::vector<HostId> peers,
              const LeaseTiming& timing, TimePoint now);
 
   std::vector<MembershipAction> Handle(const MembershipEvent& event, TimePoint now);
--- a/pistachio/connection/lease/membership_replies.cc
+++ b/pistachio/connection/lease/membership_replies.cc
@@ -4,35 +4,17 @@
 
 namespace pistachio {
 
-namespace internal {
-
-namespace {
-
-/// \returns the entry that a conflicting write found, or one with version 0 if the key is missing.
-StoreEntry CurrentOf(const StoreReply& reply) {
-  return reply.entries.empty() ? StoreEntry{} : reply.entries.front();
-}
-
-/// \returns the version that a successful write left.
-std::uint64_t VersionAfter(const StoreReply& reply, std::uint64_t expected) {
-  return reply.entries.empty() ? expected + 1 : reply.entries.front().version;
-}
-
-}  // namespace
-
-}  // namespace internal
-
 void Membership::OnReply(const internal::RenewalSent& sent, const StoreReply& reply,
                          TimePoint now) {
   if (reply.status == StoreStatus::kOk) {
-    this->OnRenewed(sent.record, internal::VersionAfter(reply, this->record_version), now);
+    this->OnRenewed(sent.record, VersionAfter(reply, this->record_version), now);
     return;
   }
   if (reply.status != StoreStatus::kConflict) {
     this->OnRenewalFailed(now);
     return;
   }
-  const StoreEntry current = internal::CurrentOf(reply);
+  const StoreEntry current = CurrentEntry(reply);
   const std::optional<internal::MemberRecord> record = internal::DecodeMemberRecord(current.value);
   const bool is_missing = !current.exists() || !record;
   if (is_missing || record->state == internal::MemberState::kExpelled) {
@@ -100,10 +82,10 @@
     return;
   }
   if (reply.status == StoreStatus::kOk) {
-    this->AdoptRoster(sent.roster, internal::VersionAfter(reply, this->roster_key_version), now);
+    this->AdoptRoster(sent.roster, VersionAfter(reply, this->roster_key_version), now);
     return;
   }
-  const StoreEntry current = internal::CurrentOf(reply);
+  const StoreEntry current = CurrentEntry(reply);
   const std::optional<Roster> roster = internal::DecodeRoster(current.value);
   if (reply.status == StoreStatus::kConflict && roster) {
     this->AdoptRoster(*roster, current.version, now);
@@ -234,7 +216,7 @@
     this->next_list = now + this->timing.heartbeat_every / 2;
     return;
   }
-  const std::uint64_t version = internal::VersionAfter(reply, write.expected_version);
+  const std::uint64_t version = VersionAfter(reply, write.expected_version);
   this->EmitUnitChange(write.unit, this->units.WriteLanded(write, version));
   const UnitMoved moved{this->self, write.unit, write.record.owner, write.record.epoch};
   this->recent_moves.push_back(moved);
--- a/pistachio/connection/lease/records.cc
+++ b/pistachio/connection/lease/records.cc
@@ -1,6 +1,6 @@
 #include "pistachio/connection/lease/records.h"
 
-#include <nlohmann/json.hpp>
+#include "pistachio/connection/store/cbor.h"
 
 namespace pistachio::internal {
 
@@ -8,16 +8,6 @@
 
 namespace {
 
-std::string ToCbor(const Json& json) {
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-  return std::string(bytes.begin(), bytes.end());
-}
-
-// Discarded input and input of the wrong shape both end as nothing.
-Json FromCbor(const std::string& value) {
-  return Json::from_cbor(value, /*strict=*/true, /*allow_exceptions=*/false);
-}
-
 Json ToJson(const MemberId& member) { return Json::array({member.host.str(), member.incarnation}); }
 
 MemberId ToMemberId(const Json& json) {
@@ -54,20 +44,6 @@
   return UnitRecord{ToMemberId(json.at("o")), json.at("e").get<Epoch>()};
 }
 
-template <class Convert>
-auto Decode(const std::string& value, Convert convert)
-    -> std::optional<decltype(convert(std::declval<Json>()))> {
-  const Json json = FromCbor(value);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  try {
-    return convert(json);
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 LeaseKeys::LeaseKeys(const DataCentreId& data_centre)
@@ -110,13 +86,13 @@
 }
 
 std::optional<MemberRecord> DecodeMemberRecord(const std::string& value) {
-  return Decode(value, ToMemberRecord);
+  return FromCbor(value, ToMemberRecord);
 }
 
 std::optional<UnitRecord> DecodeUnitRecord(const std::string& value) {
-  return Decode(value, ToUnitRecord);
+  return FromCbor(value, ToUnitRecord);
 }
 
-std::optional<Roster> DecodeRoster(const std::string& value) { return Decode(value, ToRoster); }
+std::optional<Roster> DecodeRoster(const std::string& value) { return FromCbor(value, ToRoster); }
 
 }  // namespace pistachio::internal
--- a/pistachio/connection/store/calls.cc
+++ b/pistachio/connection/store/calls.cc
@@ -16,6 +16,14 @@
 
 }  // namespace internal
 
+StoreEntry CurrentEntry(const StoreReply& reply) {
+  return reply.entries.empty() ? StoreEntry{} : reply.entries.front();
+}
+
+std::uint64_t VersionAfter(const StoreReply& reply, std::uint64_t expected) {
+  return reply.entries.empty() ? expected + 1 : reply.entries.front().version;
+}
+
 const char* NameOf(StoreRole role) {
   switch (role) {
     case StoreRole::kMembership:
--- a/pistachio/connection/store/calls.h
+++ b/pistachio/connection/store/calls.h
@@ -71,6 +71,12 @@
   std::uint64_t revision = 0;       ///< counts every write to the service; for watches
 };
 
+/// \returns the entry that a conflicting write or a read found; version 0 if the key is missing.
+StoreEntry CurrentEntry(const StoreReply& reply);
+
+/// \returns the version that a successful write of a key left, having expected \a expected.
+std::uint64_t VersionAfter(const StoreReply& reply, std::uint64_t expected);
+
 /// \brief Which part of the system makes a call; calls and bytes are counted for each.
 enum class StoreRole { kMembership, kOwnership, kLedger, kSettings, kOperator };
 
--- a/pistachio/process/ledger/ledger_records.cc
+++ b/pistachio/process/ledger/ledger_records.cc
@@ -1,8 +1,10 @@
 #include "pistachio/process/ledger/ledger_records.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 #include <set>
 
+#include "pistachio/connection/store/cbor.h"
+
 namespace pistachio::internal {
 
 using Json = nlohmann::json;
@@ -16,11 +18,6 @@
   return std::string(kSlotDigits - std::min(kSlotDigits, digits.size()), '0') + digits;
 }
 
-std::string ToCbor(const Json& json) {
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-  return std::string(bytes.begin(), bytes.end());
-}
-
 Json ToBinary(const std::string& bytes) {
   return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
@@ -30,20 +27,6 @@
   return std::string(bytes.begin(), bytes.end());
 }
 
-template <class Convert>
-auto Decode(const std::string& value, Convert convert)
-    -> std::optional<decltype(convert(std::declval<Json>()))> {
-  const Json json = Json::from_cbor(value, /*strict=*/true, /*allow_exceptions=*/false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  try {
-    return convert(json);
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 LedgerBatch ToBatch(const Json& json) {
   LedgerBatch batch;
   batch.number = json.at("n").get<std::uint64_t>();
@@ -157,15 +140,15 @@
 }
 
 std::optional<LedgerBatch> DecodeLedgerBatch(const std::string& value) {
-  return Decode(value, ToBatch);
+  return FromCbor(value, ToBatch);
 }
 
 std::optional<SnapshotHead> DecodeSnapshotHead(const std::string& value) {
-  return Decode(value, ToHead);
+  return FromCbor(value, ToHead);
 }
 
 std::optional<SnapshotPart> DecodeSnapshotPart(const std::string& value) {
-  return Decode(value, ToPart);
+  return FromCbor(value, ToPart);
 }
 
 std::optional<LedgerContent> ReadLedger(const LedgerKeys& keys,
--- a/pistachio/process/ledger/ledger_replies.cc
+++ b/pistachio/process/ledger/ledger_replies.cc
@@ -11,10 +11,6 @@
 
 constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
 
-StoreEntry CurrentOf(const StoreReply& reply) {
-  return reply.entries.empty() ? StoreEntry{} : reply.entries.front();
-}
-
 }  // namespace
 
 }  // namespace internal
@@ -62,10 +58,10 @@
 template <class Kind>
 void Ledger::OnReply(const Kind& write, const StoreReply& reply, TimePoint now) {
   const std::string key = this->KeyOf(write);
-  const StoreEntry current = internal::CurrentOf(reply);
+  const StoreEntry current = CurrentEntry(reply);
   switch (reply.status) {
     case StoreStatus::kOk:
-      this->OnWritten(write, current.exists() ? current.version : this->versions[key] + 1, now);
+      this->OnWritten(write, VersionAfter(reply, this->versions[key]), now);
       return;
     case StoreStatus::kUnavailable:
       this->RetryLater(write, now);
@@ -86,7 +82,7 @@
     this->RetryLater(read, now);
     return;
   }
-  this->OnCurrent(read.write, internal::CurrentOf(reply), now);
+  this->OnCurrent(read.write, CurrentEntry(reply), now);
 }
 
 template <class Kind>
--- a/pistachio/process/ledger/ledger_types.h
+++ b/pistachio/process/ledger/ledger_types.h
@@ -14,11 +14,11 @@
 
 /// \brief Bounds of a ledger.
 struct LedgerLimits {
-  std::uint32_t slots = 64;                           ///< delta keys in the ring
-  Duration batch_interval = std::chrono::seconds(1);  ///< least time between commits
-  Duration store_timeout = std::chrono::seconds(2);   ///< for one call
-  std::size_t max_batch_bytes = 256U * 1024U;         ///< a single larger record goes alone
-  std::size_t max_part_bytes = 512U * 1024U;          ///< of a snapshot that is split
+  std::uint32_t slots = 64;                               ///< delta keys in the ring
+  Duration batch_interval = std::chrono::seconds(1);      ///< least time between commits
+  Duration store_timeout = std::chrono::seconds(2);       ///< for one call
+  std::size_t max_batch_bytes = std::size_t{256} * 1024;  ///< a single larger record goes alone
+  std::size_t max_part_bytes = std::size_t{512} * 1024;   ///< of a snapshot that is split
 };
 
 /// \brief Start: read the ledger and write a fence under \a epoch.
