Tasks: job queue and rack controller with their ledgers' records

Messages carry the assignment's serial and the queue's settled_below, so that a rack may forget ended attempts and still refuses late copies.

--- a/pistachio/process/tasks/types.h
+++ b/pistachio/process/tasks/types.h
@@ -41,6 +41,8 @@
   JobSpec spec;
   std::string checkpoint;               ///< where to resume; empty for a fresh start
   std::vector<TargetId> avoid_targets;  ///< where earlier attempts failed
+  std::uint64_t serial = 0;             ///< number of the queue's record of this assignment
+  std::uint64_t settled_below = 0;      ///< the queue repeats no assignment of a lower serial
 };
 
 /// \brief How a rack's part in a task's attempt ended.
@@ -64,6 +66,8 @@
   std::string checkpoint;
   TargetId target;
   std::string reason;
+  RackId rack;               ///< who tells, and gets the acknowledgement
+  std::uint64_t serial = 0;  ///< of the assignment that has ended
 };
 
 // ---- What a target is told and what it tells.
