--- a/pistachio/process/tasks/queue_dispatch.cc
+++ b/pistachio/process/tasks/queue_dispatch.cc
@@ -6,7 +6,6 @@
 namespace pistachio {
 
 using internal::QueueJob;
-using internal::QueueTask;
 
 namespace {
 
--- a/pistachio/process/tasks/rack_controller.cc
+++ b/pistachio/process/tasks/rack_controller.cc
@@ -4,8 +4,8 @@
 
 namespace pistachio {
 
-RackController::RackController(RackId rack, const RackLimits& limits, Policy policy)
-    : rack(std::move(rack)), limits(limits), policy(std::move(policy)) {
+RackController::RackController(RackId rack, const RackLimits& limits, const Policy& policy)
+    : rack(std::move(rack)), limits(limits), policy(policy) {
   this->evictions_left = limits.eviction_burst;
 }
 
--- a/pistachio/process/tasks/rack_controller.h
+++ b/pistachio/process/tasks/rack_controller.h
@@ -129,7 +129,7 @@
 /// is carried out at most `command_timeout` after it was sent; a restarted target runs nothing old.
 class RackController {
  public:
-  RackController(RackId rack, const RackLimits& limits, Policy policy);
+  RackController(RackId rack, const RackLimits& limits, const Policy& policy);
 
   /// \brief Takes in one event. \returns what is to be done, in order.
   std::vector<RackAction> Handle(const RackEvent& event, TimePoint now);
@@ -213,7 +213,7 @@
   void NoteSuccess(internal::RackTarget& target);
 
   // Ends (rack_ends.cc).
-  void End(TaskId task, AttemptOutcome outcome, const std::string& reason);
+  void End(const TaskId& running, AttemptOutcome outcome, const std::string& reason);
   void Refuse(const TaskId& task, AttemptNumber attempt, const UnitId& queue, std::uint64_t serial,
               AttemptOutcome outcome, const std::string& reason);
   void Tell(internal::EndedAttempt& ended);
--- a/pistachio/process/tasks/rack_ends.cc
+++ b/pistachio/process/tasks/rack_ends.cc
@@ -8,7 +8,8 @@
 using internal::EndedAttempt;
 using internal::Placement;
 
-void RackController::End(TaskId task, AttemptOutcome outcome, const std::string& reason) {
+void RackController::End(const TaskId& running, AttemptOutcome outcome, const std::string& reason) {
+  const TaskId task = running;  // the placement that holds it goes
   const auto found = this->placements.find(task);
   const Placement placement = found->second;
   const JobSpec& spec = this->SpecOf(task.job);
--- a/pistachio/process/tasks/rack_timers.cc
+++ b/pistachio/process/tasks/rack_timers.cc
@@ -7,7 +7,6 @@
 
 using internal::Placement;
 using internal::PlacementStage;
-using internal::RackTarget;
 
 void RackController::ExpireCommands() {
   const Duration patience = 2 * this->limits.command_timeout;
--- a/tests/tasks/world.h
+++ b/tests/tasks/world.h
@@ -133,7 +133,6 @@
   std::map<TargetId, TargetStanding> standings;
   TimePoint service_down_until{};
   TimePoint next_room{};
-  std::uint64_t checkpoints_taken = 0;
 };
 
 JobSpec BatchJob(const std::string& name, std::uint32_t count, Duration run,
