--- a/pistachio/request/broker.cc
+++ b/pistachio/request/broker.cc
@@ -254,6 +254,8 @@
   this->counts.joined += 1;
   const TimePoint deadline = std::min(event.spec.deadline, request.spec.deadline);
   request.waiters.push_back({event.arrival, deadline});
+  // The same caller may have tried the id at another entry host since the request was taken in.
+  request.may_have_run = request.may_have_run || internal::EarlierTryIsPossible(event.spec);
   this->Report(internal::JoinedRecord(event.spec, request.waiters.size()));
   this->SetDeadlineTimer(request);
 }
--- a/pistachio/request/id_route.h
+++ b/pistachio/request/id_route.h
@@ -29,7 +29,8 @@
 ///
 /// \param self_data_centre, self this entry host
 /// \param connected_home the life of the home's host that this entry host is connected to, if any;
-///   a stale guess must not be passed, since another incarnation proves the older one gone
+///   what may be out of date must not be passed, since another incarnation proves the older one
+///   gone
 IdRoute RouteOfId(const RequestSpec& spec, const DataCentreId& self_data_centre,
                   const MemberId& self, const std::optional<MemberId>& connected_home);
 
--- a/pistachio/request/request_queue.cc
+++ b/pistachio/request/request_queue.cc
@@ -74,10 +74,10 @@
   }
 }
 
-std::size_t RequestQueue::CountBefore(TimePoint deadline, std::size_t limit) const {
+std::size_t RequestQueue::CountBefore(TimePoint instant, std::size_t limit) const {
   std::size_t count = 0;
   for (const Entry& entry : this->by_deadline) {
-    if (entry.first >= deadline || count >= limit) {
+    if (entry.first >= instant || count >= limit) {
       break;
     }
     ++count;
--- a/pistachio/request/request_queue.h
+++ b/pistachio/request/request_queue.h
@@ -40,8 +40,8 @@
   /// \brief Removes a request that does not wait any more.
   void Remove(const QueuedRequest& request);
 
-  /// \returns how many waiting requests have an earlier deadline; counts up to \a limit.
-  std::size_t CountBefore(TimePoint deadline, std::size_t limit) const;
+  /// \returns how many waiting requests are due before \a instant; counts up to \a limit.
+  std::size_t CountBefore(TimePoint instant, std::size_t limit) const;
 
   std::size_t size() const { return this->by_deadline.size(); }
   bool empty() const { return this->by_deadline.empty(); }
--- a/pistachio/request/target_health.cc
+++ b/pistachio/request/target_health.cc
@@ -82,10 +82,10 @@
   return std::min(slots, static_cast<std::uint32_t>(this->limit));
 }
 
-double TargetHealth::Score(std::uint32_t in_use, std::optional<Duration> typical) const {
+double TargetHealth::Score(std::uint32_t attempts, std::optional<Duration> typical) const {
   const double typical_us = typical ? static_cast<double>(typical->count()) : 1.0;
   const double expected_us = this->samples == 0 ? typical_us : this->latency_us;
-  double score = expected_us * (in_use + 1) / this->limit;
+  double score = expected_us * (attempts + 1) / this->limit;
   if (this->samples < kSlowStartSamples) {
     score *= kSlowStartPenalty;
   }
--- a/pistachio/request/target_health.h
+++ b/pistachio/request/target_health.h
@@ -44,8 +44,8 @@
   /// \returns how many attempts may be in flight, at most \a slots.
   std::uint32_t ConcurrencyLimit(std::uint32_t slots) const;
 
-  /// \returns the expected latency relative to others with \a in_use attempts in flight there.
-  double Score(std::uint32_t in_use, std::optional<Duration> typical) const;
+  /// \returns the expected latency relative to others with \a attempts attempts in flight there.
+  double Score(std::uint32_t attempts, std::optional<Duration> typical) const;
 
  private:
   double latency_us = 0.0;  ///< moving average
