--- a/pistachio/connection/lease/member_types.h
+++ b/pistachio/connection/lease/member_types.h
@@ -26,6 +26,11 @@
   /// How long a member goes on using its slots after its lease lapsed; survivors leave an expelled
   /// member's slots idle for as long.
   Duration slot_grace = std::chrono::minutes(5);
+
+  /// \returns the wait on this clock that lasts at least \a wait on any other one.
+  Duration WithMargin(Duration wait) const {
+    return wait + this->drift_margin * (wait / this->term + 1);
+  }
 };
 
 /// \brief A member that a roster held once and whose slots may still be in use.
--- a/pistachio/connection/lease/membership.cc
+++ b/pistachio/connection/lease/membership.cc
@@ -28,6 +28,7 @@
   this->actions.clear();
   if (!this->ended) {
     std::visit([&](const auto& typed) { this->On(typed, now); }, event);
+    this->AcquireUnits(now);
     this->legit_until = std::max(this->legit_until, this->act_until());
   }
   return std::exchange(this->actions, {});
@@ -35,8 +36,8 @@
 
 std::uint32_t Membership::UsableSlots(const TargetId& target, std::uint32_t slots,
                                       TimePoint now) const {
-  const bool released = this->ended || this->left;
-  if (released || now >= this->legit_until + this->timing.slot_grace) {
+  // Peers count a member as stopped once its record says that it left, which is before it knows.
+  if (this->lease.is_released() || now >= this->legit_until + this->timing.slot_grace) {
     return 0;
   }
   return this->division.Usable(target, slots);
--- a/pistachio/connection/lease/membership.h
+++ b/pistachio/connection/lease/membership.h
@@ -118,6 +118,7 @@
   void CheckOwnRecord(TimePoint now);
   void AdoptRecords(const StoreReply& reply, TimePoint now);
   void ReadUnit(const StoreEntry& entry);
+  void AcquireUnits(TimePoint now);
   void EmitUnitChange(const UnitId& unit, internal::UnitChange change);
 
   // Decisions that time brings (membership_decisions.cc).
--- a/pistachio/connection/lease/membership_replies.cc
+++ b/pistachio/connection/lease/membership_replies.cc
@@ -182,16 +182,21 @@
 void Membership::EmitUnitChange(const UnitId& unit, internal::UnitChange change) {
   if (change == internal::UnitChange::kLost) {
     this->actions.emplace_back(UnitLost{unit});
-    return;
   }
-  if (change != internal::UnitChange::kAcquired) {
+}
+
+void Membership::AcquireUnits(TimePoint now) {
+  if (!this->IsActive(now) || this->ended) {
     return;
   }
-  const Epoch epoch = this->units.owned().at(unit);
-  this->Report(EventCode::kUnitAcquired, {{"unit", unit.str()}, {"epoch", std::to_string(epoch)}});
-  this->actions.emplace_back(UnitAcquired{unit, epoch});
-  if (this->leaving && this->units.StartDraining(unit)) {
-    this->actions.emplace_back(UnitDraining{unit});
+  for (const UnitId& unit : this->units.Acquire()) {
+    const Epoch epoch = this->units.owned().at(unit);
+    this->Report(EventCode::kUnitAcquired,
+                 {{"unit", unit.str()}, {"epoch", std::to_string(epoch)}});
+    this->actions.emplace_back(UnitAcquired{unit, epoch});
+    if (this->leaving && this->units.StartDraining(unit)) {
+      this->actions.emplace_back(UnitDraining{unit});
+    }
   }
 }
 
--- a/pistachio/connection/lease/own_lease.h
+++ b/pistachio/connection/lease/own_lease.h
@@ -31,6 +31,7 @@
 
   /// \brief Gives up the right to act for good.
   void Release();
+  bool is_released() const { return this->released; }
 
   /// \returns every other member that may expel this one, whichever of the renewals in doubt holds.
   const std::set<MemberId>& voters() const { return this->current_voters; }
--- a/pistachio/connection/lease/slot_division.cc
+++ b/pistachio/connection/lease/slot_division.cc
@@ -33,11 +33,8 @@
   if (since == this->retired_since.end()) {
     return false;
   }
-  Duration wait = this->timing.max_request + this->timing.drift_margin;
-  if (!retired.stopped) {
-    const auto terms = this->timing.slot_grace / this->timing.term + 1;
-    wait += this->timing.slot_grace + this->timing.drift_margin * terms;
-  }
+  const Duration grace = retired.stopped ? Duration(0) : this->timing.slot_grace;
+  const Duration wait = this->timing.WithMargin(grace + this->timing.max_request);
   return now >= since->second + wait;
 }
 
@@ -52,7 +49,7 @@
     if (peer == this->peers.end() || peer->second.version != newest.version) {
       return false;
     }
-    if (now < peer->second.since + this->timing.max_request + this->timing.drift_margin) {
+    if (now < peer->second.since + this->timing.WithMargin(this->timing.max_request)) {
       return false;
     }
   }
--- a/pistachio/connection/lease/unit_table.cc
+++ b/pistachio/connection/lease/unit_table.cc
@@ -1,6 +1,7 @@
 #include "pistachio/connection/lease/unit_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pistachio::internal {
 
@@ -10,23 +11,36 @@
   this->wanted = std::set<UnitId>(units.begin(), units.end());
 }
 
-UnitChange UnitTable::Adopt(const UnitId& unit, Known* known) {
+UnitChange UnitTable::Adopt(const UnitId& unit, const Known& known) {
   const auto holding = this->held.find(unit);
-  const bool is_owner = known->record.owner == this->self;
+  const bool is_owner = known.record.owner == this->self;
   if (holding != this->held.end()) {
-    if (is_owner && known->record.epoch == holding->second) {
+    if (is_owner && known.record.epoch == holding->second) {
       return UnitChange::kNone;
     }
     this->Drop(unit);
     return UnitChange::kLost;
   }
-  // An epoch is held once: what was given up comes back only under a later one.
-  if (!is_owner || known->writing || known->record.epoch <= known->held_epoch) {
-    return UnitChange::kNone;
+  if (is_owner) {
+    this->acquirable.insert(unit);
+  }
+  return UnitChange::kNone;
+}
+
+std::vector<UnitId> UnitTable::Acquire() {
+  std::vector<UnitId> acquired;
+  for (const UnitId& unit : std::exchange(this->acquirable, {})) {
+    Known& known = this->units[unit];
+    // An epoch is held once: what was given up comes back only under a later one.
+    const bool is_new =
+        known.record.owner == this->self && !known.writing && known.record.epoch > known.held_epoch;
+    if (is_new) {
+      known.held_epoch = known.record.epoch;
+      this->held[unit] = known.record.epoch;
+      acquired.push_back(unit);
+    }
   }
-  known->held_epoch = known->record.epoch;
-  this->held[unit] = known->record.epoch;
-  return UnitChange::kAcquired;
+  return acquired;
 }
 
 UnitChange UnitTable::RecordRead(const UnitId& unit, const UnitRecord& record,
@@ -37,7 +51,7 @@
   }
   known.record = record;
   known.version = version;
-  return this->Adopt(unit, &known);
+  return this->Adopt(unit, known);
 }
 
 void UnitTable::WriteSent(const UnitWrite& write) { this->units[write.unit].writing = true; }
--- a/pistachio/connection/lease/unit_table.h
+++ b/pistachio/connection/lease/unit_table.h
@@ -17,7 +17,7 @@
 };
 
 /// \brief What became of a unit after its record was read or written.
-enum class UnitChange { kNone, kAcquired, kLost };
+enum class UnitChange { kNone, kLost };
 
 /// \brief Ownership records of the data centre's units, as last seen, and what this member holds.
 class UnitTable {
@@ -40,6 +40,12 @@
   /// \brief A peer told of a record it wrote. \returns true if the record has to be read.
   bool HintReceived(const UnitMoved& hint);
 
+  /// \brief Holds the units whose records name this member under an epoch not held before.
+  /// \pre the lease covers this instant, so that no one can have taken the records since they were
+  /// read
+  /// \returns the units that are new.
+  std::vector<UnitId> Acquire();
+
   /// \brief Marks an owned unit as to be handed over. \returns false if it is already or not owned.
   bool StartDraining(const UnitId& unit);
   /// \brief Stops holding a unit. \returns false if it was not held.
@@ -76,13 +82,14 @@
     UnitRecord hint;
   };
 
-  UnitChange Adopt(const UnitId& unit, Known* known);
+  UnitChange Adopt(const UnitId& unit, const Known& known);
 
   MemberId self;
   std::set<UnitId> wanted;
   std::map<UnitId, Known> units;
   std::map<UnitId, Epoch> held;
   std::set<UnitId> draining_units;
+  std::set<UnitId> acquirable;
 };
 
 template <class IsGone>
--- a/pistachio/process/ledger/ledger.cc
+++ b/pistachio/process/ledger/ledger.cc
@@ -102,8 +102,8 @@
     return;
   }
   this->WantSnapshot();
-  // Either may come first; a snapshot frees the slots that a batch may be waiting for.
-  if (!this->CommitNext(now) && !this->SnapshotNext(now)) {
+  // The snapshot goes first, or a steady stream of batches would fill the ring.
+  if (!this->SnapshotNext(now) && !this->CommitNext(now)) {
     this->DeleteNext(now);
   }
 }
@@ -128,7 +128,8 @@
 
 void Ledger::WriteFence(TimePoint now) {
   this->phase = internal::LedgerPhase::kFencing;
-  if (!this->HasRoom(1)) {
+  // One more slot has to stay free for the batch that a snapshot may wait for.
+  if (!this->HasRoom(2)) {
     this->phase = internal::LedgerPhase::kDamaged;
     this->Report(EventCode::kLedgerDamaged, {{"unit", this->unit.str()}, {"reason", "ring full"}});
     return;
@@ -148,7 +149,8 @@
 bool Ledger::CommitNext(TimePoint now) {
   const bool urgent = std::any_of(this->waiting.begin(), this->waiting.end(),
                                   [](const auto& record) { return record.urgent; });
-  const std::uint32_t reserved = this->limits.slots / internal::kFenceShare;
+  // A snapshot that waits for these records may use the reserve: it is what frees the ring.
+  const std::uint32_t reserved = this->snapshot ? 0 : this->limits.slots / internal::kFenceShare;
   const bool due = urgent || now >= this->next_commit;
   if (this->waiting.empty() || !due || !this->HasRoom(1 + reserved)) {
     return false;
@@ -157,10 +159,13 @@
   batch.number = this->last_batch + 1;
   batch.epoch = this->epoch;
   batch.first_sequence = this->waiting.front().sequence;
+  // Into the last free slot goes whatever the snapshot waits for.
+  const std::size_t most =
+      this->HasRoom(2) ? this->limits.max_batch_bytes : kMaxStoreValueBytes / 2;
   std::size_t bytes = 0;
   while (!this->waiting.empty()) {
     bytes += this->waiting.front().record.size();
-    if (!batch.records.empty() && bytes > this->limits.max_batch_bytes) {
+    if (!batch.records.empty() && bytes > most) {
       break;
     }
     batch.records.push_back(std::move(this->waiting.front().record));
@@ -230,7 +235,8 @@
 }
 
 bool Ledger::DeleteNext(TimePoint now) {
-  if (this->stale_parts.empty()) {
+  // Until this owner's own head is written, a late one of the last owner may still name its parts.
+  if (this->stale_parts.empty() || this->head.epoch != this->epoch) {
     return false;
   }
   const std::string key = this->stale_parts.front();
--- a/tests/lease/membership_test.cc
+++ b/tests/lease/membership_test.cc
@@ -128,5 +128,52 @@
   REQUIRE(a.logic.act_until() <= cluster.now);
 }
 
+TEST_CASE("a record read before a pause gives no unit to a member whose lease ran out", "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {HostId("b")});
+  Member& b = cluster.Add("b", 1, {HostId("a")});
+  cluster.Run(std::chrono::seconds(10));
+  const UnitId unit("rack-9");
+  const Epoch epoch = 6;
+  // The old owner hands the unit over, the news arrives, the read is answered after a long pause.
+  const UnitMoved news{a.id, unit, b.id, epoch + 1};
+  const auto actions = b.logic.Handle(MemberMessageReceived{news}, cluster.now);
+  const auto& read = std::get<MemberCallStore>(actions.at(0));
+  const std::string key = std::get<GetCall>(read.call).key;
+  const std::string value = internal::Encode(internal::UnitRecord{b.id, epoch + 1});
+  const StoreReply reply{StoreStatus::kOk, {StoreEntry{key, value, 99}}, 0};
+  cluster.now += std::chrono::minutes(1);
+  b.logic.Handle(MemberStoreAnswered{read.call_id, reply}, cluster.now);
+  REQUIRE(b.logic.owned().count(unit) == 0);
+}
+
+TEST_CASE("a member uses no slots from the moment that its record may say that it left",
+          "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {});
+  cluster.Run(std::chrono::seconds(10));
+  REQUIRE(a.logic.UsableSlots(TargetId("t"), 8, cluster.now) == 8);
+  cluster.Feed(&a, LeaveRequested{});
+  cluster.fault = StoreFault::kLostAnswer;
+  bool sent = false;
+  for (int step = 0; step < 100 && !sent; step++) {
+    cluster.now += std::chrono::milliseconds(100);
+    for (const MembershipAction& action : a.logic.Handle(MemberTick{}, cluster.now)) {
+      const auto* call = std::get_if<MemberCallStore>(&action);
+      const auto* write = call == nullptr ? nullptr : std::get_if<CompareAndSwapCall>(&call->call);
+      const auto record =
+          write == nullptr ? std::nullopt : internal::DecodeMemberRecord(write->value);
+      sent = sent || (record && record->state == internal::MemberState::kLeft);
+      if (call != nullptr && !sent) {
+        a.logic.Handle(MemberStoreAnswered{call->call_id, cluster.store.Call(call->call)},
+                       cluster.now);
+      }
+    }
+  }
+  REQUIRE(sent);
+  REQUIRE(a.logic.UsableSlots(TargetId("t"), 8, cluster.now) == 0);
+  REQUIRE(a.logic.act_until() <= cluster.now);
+}
+
 }  // namespace
 }  // namespace pistachio
--- a/tests/ledger/ledger_test.cc
+++ b/tests/ledger/ledger_test.cc
@@ -1,6 +1,7 @@
 #include "pistachio/process/ledger.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 #include "pistachio/connection/store.h"
 
@@ -127,5 +128,59 @@
   REQUIRE(next.recovered->next_sequence == 41);
 }
 
+TEST_CASE("an owner deletes the last owner's snapshot parts only once its own head is written",
+          "[ledger]") {
+  FakeStore store;
+  LedgerLimits limits;
+  limits.slots = 8;
+  limits.max_part_bytes = 4;
+  Owner first(&store, limits);
+  first.Feed(LedgerOpened{1});
+  while (!first.snapshot_wanted) {
+    first.Append("abcdefgh");
+  }
+  // The parts are written, the head is still on its way when the next owner opens.
+  std::optional<CompareAndSwapCall> late_head;
+  std::deque<LedgerEvent> events = {SnapshotTaken{first.next - 1, "abcdefghijkl"}};
+  while (!late_head) {
+    const LedgerEvent event = events.front();
+    events.pop_front();
+    for (const LedgerAction& action : first.logic.Handle(event, first.now)) {
+      const auto* call = std::get_if<CallStore>(&action);
+      const auto* write = call == nullptr ? nullptr : std::get_if<CompareAndSwapCall>(&call->call);
+      if (write != nullptr && write->key == "ledger/rack-1/head") {
+        late_head = *write;
+      } else if (call != nullptr) {
+        events.push_back(LedgerStoreAnswered{call->call_id, store.Call(call->call)});
+      }
+    }
+  }
+  Owner second(&store, limits);
+  second.Feed(LedgerOpened{2});
+  second.Run(std::chrono::seconds(3));
+  REQUIRE(store.Call(*late_head).status == StoreStatus::kOk);
+  Owner third(&store, limits);
+  third.Feed(LedgerOpened{3});
+  REQUIRE(third.recovered);
+  REQUIRE(third.recovered->snapshot == "abcdefghijkl");
+}
+
+TEST_CASE("a snapshot that waits for records finds a slot for them in a crowded ring", "[ledger]") {
+  FakeStore store;
+  LedgerLimits limits;
+  limits.slots = 8;
+  Owner owner(&store, limits);
+  owner.Feed(LedgerOpened{1});
+  for (int i = 0; i < 20; i++) {
+    owner.Append("r" + std::to_string(i));
+  }
+  REQUIRE(owner.snapshot_wanted);
+  REQUIRE(owner.logic.pending() > 0);
+  owner.Feed(SnapshotTaken{20, "all"});
+  owner.Run(std::chrono::seconds(2));
+  REQUIRE(owner.logic.pending() == 0);
+  REQUIRE(owner.committed == 20);
+}
+
 }  // namespace
 }  // namespace pistachio
