Policy: interference policy with a learned slowdown model, learned sizes and reactions

Cause: placement by committed shares cannot see which pair slows which. Change: a slowdown model per pair with class and prior fall-back, uncertainty and decay; learned sizes; placement by the rise of a target's predicted cost; throttle, restore and evict with streaks of measurements, a settling time and an eviction budget; events 6001 to 6005.

--- a/pistachio/process/policy/policy.cc
+++ b/pistachio/process/policy/policy.cc
@@ -1,18 +1,56 @@
 #include "pistachio/process/policy/policy.h"
 
+#include <fmt/format.h>
+
 namespace pistachio {
 
+namespace internal {
+
+EventCode CodeOf(ReactionKind kind) {
+  switch (kind) {
+    case ReactionKind::kThrottle:
+      return EventCode::kTaskThrottled;
+    case ReactionKind::kRestore:
+      return EventCode::kTaskRestored;
+    case ReactionKind::kEvict:
+      return EventCode::kTaskEvictedForTail;
+  }
+  return EventCode::kTaskThrottled;
+}
+
+}  // namespace internal
+
 std::optional<PlacementDecision> Place(Policy& policy, const PlacementRequest& request,
                                        const std::vector<TargetView>& targets) {
   return std::visit([&](auto& chosen) { return chosen.Place(request, targets); }, policy);
 }
 
-void Learn(Policy& /*policy*/, const UsageSample& /*sample*/, const TargetView& /*view*/) {
-  // Only policies that predict interference learn; none of the simple ones does.
+void Learn(Policy& policy, const UsageSample& sample, const TargetView& view) {
+  if (auto* learning = std::get_if<InterferencePolicy>(&policy)) {
+    learning->Learn(sample, view);
+  }
 }
 
-std::vector<Reaction> React(Policy& /*policy*/, const TargetView& /*view*/, TimePoint /*now*/) {
+std::vector<Reaction> React(Policy& policy, const TargetView& view, TimePoint now) {
+  if (auto* reacting = std::get_if<InterferencePolicy>(&policy)) {
+    return reacting->React(view, now);
+  }
   return {};
 }
 
+std::vector<EventRecord> TakeEvents(Policy& policy) {
+  if (auto* learning = std::get_if<InterferencePolicy>(&policy)) {
+    return learning->TakeEvents();
+  }
+  return {};
+}
+
+EventRecord EventOf(const Reaction& reaction) {
+  return {internal::CodeOf(reaction.kind),
+          {{"target", reaction.target.str()},
+           {"task", reaction.task.str()},
+           {"speed", fmt::format("{:.2f}", reaction.throttle)},
+           {"reason", reaction.reason}}};
+}
+
 }  // namespace pistachio
--- a/pistachio/process/policy/policy.h
+++ b/pistachio/process/policy/policy.h
@@ -4,6 +4,7 @@
 #include <variant>
 #include <vector>
 
+#include "pistachio/process/policy/interference_policy.h"
 #include "pistachio/process/policy/simple_policies.h"
 #include "pistachio/process/policy/types.h"
 
@@ -13,7 +14,7 @@
 ///
 /// The alternatives share one interface through `Place`, `Learn` and `React`.
 using Policy = std::variant<RandomPolicy, RoundRobinPolicy, LeastCommittedPolicy, BestFitPolicy,
-                            TwoChoicesPolicy>;
+                            TwoChoicesPolicy, InterferencePolicy>;
 
 /// \brief Picks a target for a task among \a targets that have room for it.
 ///
@@ -28,4 +29,10 @@
 /// \brief Decides what to throttle, restore or evict on \a view now.
 std::vector<Reaction> React(Policy& policy, const TargetView& view, TimePoint now);
 
+/// \returns events since the last call, for the log: model drift, a spent eviction budget.
+std::vector<EventRecord> TakeEvents(Policy& policy);
+
+/// \returns the event of a reaction that is about to be carried out, with its reason.
+EventRecord EventOf(const Reaction& reaction);
+
 }  // namespace pistachio
--- a/pistachio/process/policy/types.h
+++ b/pistachio/process/policy/types.h
@@ -36,6 +36,9 @@
   Resources committed;  ///< sum over placed tasks, also of those not yet known to have stopped
   double load = 0.0;    ///< service load in [0, 1], share of request slots in use, lagging
   std::vector<Neighbour> neighbours;
+  /// When a task last came, went or was throttled here; older measurements saw other neighbours.
+  /// Left at its default, every measurement counts.
+  TimePoint changed_at{};
 };
 
 /// \brief A task that wants a target.
@@ -76,6 +79,9 @@
 /// \brief What the policy asks for on a target that it finds too slow for its services.
 enum class ReactionKind { kThrottle, kRestore, kEvict };
 
+/// \returns the reaction's name in logs, such as `throttle`.
+const char* NameOf(ReactionKind kind);
+
 /// \brief One step of reaction: throttle first, then checkpoint and move.
 struct Reaction {
   ReactionKind kind = ReactionKind::kThrottle;
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -82,6 +82,11 @@
   // 5000: settings (events/settings_events.cc)
 
   // 6000: interference policy (events/policy_events.cc)
+  kTaskThrottled = 6001,
+  kTaskRestored = 6002,
+  kTaskEvictedForTail = 6003,
+  kEvictionBudgetSpent = 6004,
+  kModelDrift = 6005,
 };
 
 /// \brief How urgent an event is to an operator.
--- a/tests/policy/hard_bound_test.cc
+++ b/tests/policy/hard_bound_test.cc
@@ -54,8 +54,8 @@
 }  // namespace
 
 TEST_CASE("no policy places beyond a target's capacity, and each uses room that is there") {
-  const std::vector<Policy> policies = {RandomPolicy{}, RoundRobinPolicy{}, LeastCommittedPolicy{},
-                                        BestFitPolicy{}, TwoChoicesPolicy{}};
+  const std::vector<Policy> policies = {RandomPolicy{},  RoundRobinPolicy{}, LeastCommittedPolicy{},
+                                        BestFitPolicy{}, TwoChoicesPolicy{}, InterferencePolicy{}};
   for (const auto& policy : policies) {
     INFO("policy " << policy.index());
     CHECK(rc::check("hard bound", [&policy] { CheckBound(policy); }));
