--- a/pistachio/process/policy/placement_cost.h
+++ b/pistachio/process/policy/placement_cost.h
@@ -35,10 +35,10 @@
 namespace internal {
 
 /// How fast the share of late answers rises with the logarithm of the slowdown.
-constexpr double kLateSteepness = 5.0;
+constexpr double kLateSteepness = 8.0;
 /// Share of memory from which a target is at risk of running out.
-constexpr double kMemoryRiskShare = 0.9;
-constexpr double kMemoryRiskCost = 20.0;
+constexpr double kMemoryRiskShare = 0.95;
+constexpr double kMemoryRiskCost = 200.0;
 
 inline double Share(double used, std::int64_t capacity) {
   return capacity > 0 ? used / static_cast<double>(capacity) : 0.0;
--- a/pistachio/process/policy/policy.cc
+++ b/pistachio/process/policy/policy.cc
@@ -9,13 +9,13 @@
 EventCode CodeOf(ReactionKind kind) {
   switch (kind) {
     case ReactionKind::kThrottle:
-      return EventCode::kTaskThrottled;
+      return EventCode::kThrottleAdvised;
     case ReactionKind::kRestore:
-      return EventCode::kTaskRestored;
+      return EventCode::kRestoreAdvised;
     case ReactionKind::kEvict:
-      return EventCode::kTaskEvictedForTail;
+      return EventCode::kEvictionAdvised;
   }
-  return EventCode::kTaskThrottled;
+  return EventCode::kThrottleAdvised;
 }
 
 }  // namespace internal
--- a/pistachio/process/policy/slowdown_model.h
+++ b/pistachio/process/policy/slowdown_model.h
@@ -54,7 +54,7 @@
 
   /// \brief Takes in one measurement of \a victim among \a aggressors.
   ///
-  /// \param log_slowdown logarithm of the measured slowdown
+  /// \param log_slowdown logarithm of the slowdown in the measurement
   /// \returns the surprise: the error over its expected standard deviation. Cost: linear in the
   ///   aggressors.
   double Learn(ClassIndex victim, const std::vector<Aggressor>& aggressors, double load,
--- a/pistachio/process/policy/target_watch.h
+++ b/pistachio/process/policy/target_watch.h
@@ -26,7 +26,7 @@
   /// \returns true if a service stayed slow so long that only moving a neighbour helps.
   bool IsSlowForLong(const ReactionSettings& settings) const;
 
-  /// \returns true if every service that was measured was calm often enough in a row.
+  /// \returns true if every service seen so far was calm often enough in a row.
   bool IsCalm(const ReactionSettings& settings) const;
 
   /// \returns the instant of the last measurement that counted.
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -82,9 +82,9 @@
   // 5000: settings (events/settings_events.cc)
 
   // 6000: interference policy (events/policy_events.cc)
-  kTaskThrottled = 6001,
-  kTaskRestored = 6002,
-  kTaskEvictedForTail = 6003,
+  kThrottleAdvised = 6001,
+  kRestoreAdvised = 6002,
+  kEvictionAdvised = 6003,
   kEvictionBudgetSpent = 6004,
   kModelDrift = 6005,
 };
--- a/pistachio/process/runtime/events/policy_events.cc
+++ b/pistachio/process/runtime/events/policy_events.cc
@@ -4,11 +4,13 @@
 
 const std::vector<EventDescription>& PolicyEvents() {
   static const std::vector<EventDescription> kEvents = {
-      {EventCode::kTaskThrottled, Severity::kInfo, "task-throttled",
-       "A batch task was slowed down because a service beside it stayed slow; see the reason."},
-      {EventCode::kTaskRestored, Severity::kInfo, "task-restored",
-       "A throttled batch task got speed back because the services beside it are calm."},
-      {EventCode::kTaskEvictedForTail, Severity::kWarning, "task-evicted-for-tail",
+      {EventCode::kThrottleAdvised, Severity::kInfo, "throttle-advised",
+       "The policy slows a batch task down because a service beside it stayed slow; see the "
+       "reason."},
+      {EventCode::kRestoreAdvised, Severity::kInfo, "restore-advised",
+       "The policy gives a throttled batch task speed back because the services beside it are "
+       "calm."},
+      {EventCode::kEvictionAdvised, Severity::kWarning, "eviction-advised",
        "A batch task is checkpointed and moved because throttling did not help a service beside "
        "it. "
        "If it happens often, keep that work off this service's racks by a placement rule."},
