Settings: hierarchy, changes by compare-and-swap, and the spread between entry hosts

Cause: an accepted configuration has to be in force everywhere within seconds and never revert, and an operator has to be told the truth about a change also when answers are lost.

Change: Hierarchy resolves root and teams, checks a change against all of them and lowers what two changes at one moment put above a limit. SettingsChange files the replaced version before it swaps, so a lost answer, or the same id asked again later, is settled by reading back; while the base is the newest, a repeated change that the check refuses is unknown, since the earlier write may still land. Services are named TEAM.SERVICE to callers, so that no team can take another's name.

--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -80,6 +80,16 @@
   kSlotReleasedByBound = 4011,
 
   // 5000: settings (events/settings_events.cc)
+  kSettingsInForce = 5001,
+  kSettingsWatchStarted = 5002,
+  kSettingsWatchStopped = 5003,
+  kSettingsWatchFailing = 5004,
+  kSettingsUnreadable = 5005,
+  kSettingsForked = 5006,
+  kSettingsLowered = 5007,
+  kSettingsAccepted = 5008,
+  kSettingsRejected = 5009,
+  kSettingsUnknown = 5010,
 
   // 6000: interference policy (events/policy_events.cc)
   kThrottleAdvised = 6001,
--- a/pistachio/version/operator_api.cc
+++ b/pistachio/version/operator_api.cc
@@ -73,7 +73,21 @@
                                                 document)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ApiError, reason, next_step)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ActionAnswer, subject, result, reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChangeRequest, base_version, change_id, document)
+
+void to_json(json& out, const ChangeRequest& request) {
+  out = json{{"base_version", request.base_version},
+             {"change_id", request.change_id},
+             {"document", request.document},
+             {"repeated", request.repeated}};
+}
+
+void from_json(const json& in, ChangeRequest& request) {
+  in.at("base_version").get_to(request.base_version);
+  in.at("change_id").get_to(request.change_id);
+  in.at("document").get_to(request.document);
+  request.repeated = in.value("repeated", false);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ChangeAnswer, subtree, result, version, reason,
                                                 errors, current)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HistoryRow, version, change_id, bytes)
--- a/pistachio/version/operator_api.h
+++ b/pistachio/version/operator_api.h
@@ -49,6 +49,7 @@
   std::uint64_t base_version = 0;  ///< version that the operator saw; 0 for none
   std::string change_id;           ///< unique to the change, the same when it is asked again
   std::string document;            ///< TOML
+  bool repeated = false;           ///< an earlier try with this id may be under way
 };
 
 /// \brief Answer to a change of a subtree.
--- a/pistachio/version/settings.h
+++ b/pistachio/version/settings.h
@@ -34,12 +34,34 @@
   std::string document;       ///< TOML
 };
 
-/// \brief What one team's subtree says, inherited defaults filled in.
+/// \brief Weights of what the policy minds.
+struct PolicyWeights {
+  double tail_latency = 0.0;
+  double batch_throughput = 0.0;
+  double evictions = 0.0;
+};
+
+/// \brief What the root subtree says for everybody.
+struct RootSettings {
+  PolicyWeights policy;
+  Duration max_deadline{0};
+  std::size_t max_body_bytes = 0;
+  double retry_share = 0.0;
+  std::uint32_t max_tasks_per_job = 0;
+  Duration max_expected_run{0};
+  std::vector<std::string> operator_digests;  ///< of tokens for every subtree
+};
+
+/// \brief What one team's subtree says, inherited defaults filled in, within the root's limits.
 struct TeamSettings {
   TeamId team;
   Resources quota;
   std::int32_t max_priority = 0;
-  std::vector<JobSpec> services;  ///< standing services of the team
+  std::uint32_t max_attempts = 1;
+  std::vector<RackId> only_in_racks;  ///< for all work of the team; empty is any rack
+  std::uint32_t max_per_rack = 0;     ///< for jobs that name no bound; 0 is none
+  std::vector<JobSpec> services;      ///< standing services, named `TEAM.SERVICE` to callers
+  std::vector<std::string> operator_digests;  ///< of tokens for this subtree
 };
 
 }  // namespace pistachio
