--- a/bench/requests/simulation.h
+++ b/bench/requests/simulation.h
@@ -12,7 +12,7 @@
 
 namespace pistachio::bench {
 
-/// \brief What a run gave, over the requests that arrived in the measured time.
+/// \brief What a run gave, over the requests that arrived from Scenario::measure_from on.
 struct RunResult {
   std::vector<Duration> latencies;  ///< of answered requests, as the caller sees them, sorted
   std::uint64_t offered = 0;        ///< requests of callers, without their repeats
--- a/pistachio/request/broker.cc
+++ b/pistachio/request/broker.cc
@@ -296,8 +296,7 @@
   if (!mean || !high || service.in_flight == 0) {
     return std::nullopt;
   }
-  const std::size_t ahead =
-      service.queue.CountBefore(spec.deadline, this->limits.max_queued_per_service);
+  const std::size_t ahead = service.queue.CountAhead(spec.caller, spec.deadline);
   const auto turns = static_cast<Duration::rep>(ahead + 1);
   const Duration wait = *mean * turns / service.in_flight;
   if (this->now + wait + *high <= spec.deadline) {
--- a/pistachio/request/request_queue.cc
+++ b/pistachio/request/request_queue.cc
@@ -74,15 +74,23 @@
   }
 }
 
-std::size_t RequestQueue::CountBefore(TimePoint instant, std::size_t limit) const {
-  std::size_t count = 0;
-  for (const Entry& entry : this->by_deadline) {
-    if (entry.first >= instant || count >= limit) {
-      break;
+std::size_t RequestQueue::CountAhead(const CallerId& caller, TimePoint due) const {
+  const auto own = this->callers.find(caller);
+  const std::size_t own_backlog = own == this->callers.end() ? 0 : own->second.waiting.size();
+  const std::size_t share = own_backlog + 1 + static_cast<std::size_t>(kFairnessWindow);
+  std::size_t ahead = 0;
+  for (const auto& [id, other] : this->callers) {
+    const std::size_t most = id == caller ? own_backlog : share;
+    std::size_t count = 0;
+    for (const Entry& entry : other.waiting) {
+      if (entry.first >= due || count >= most) {
+        break;
+      }
+      ++count;
     }
-    ++count;
+    ahead += count;
   }
-  return count;
+  return ahead;
 }
 
 void RequestQueue::Insert(const QueuedRequest& request) {
--- a/pistachio/request/request_queue.h
+++ b/pistachio/request/request_queue.h
@@ -40,8 +40,9 @@
   /// \brief Removes a request that does not wait any more.
   void Remove(const QueuedRequest& request);
 
-  /// \returns how many waiting requests are due before \a instant; counts up to \a limit.
-  std::size_t CountBefore(TimePoint instant, std::size_t limit) const;
+  /// \returns how many waiting requests go before one of \a caller that is due at \a due: those
+  /// due earlier, but of each other caller no more than fairness lets go first.
+  std::size_t CountAhead(const CallerId& caller, TimePoint due) const;
 
   std::size_t size() const { return this->by_deadline.size(); }
   bool empty() const { return this->by_deadline.empty(); }
--- a/pistachio/request/service_router.cc
+++ b/pistachio/request/service_router.cc
@@ -241,7 +241,8 @@
 TargetCandidate ServiceRouter::CandidateOf(std::size_t index, const SlotTable& slots) const {
   const Member& member = this->members[index];
   const std::uint32_t in_use = slots.in_use(member.slot);
-  return {index, in_use, member.health.Score(in_use, this->profile.median())};
+  const double score = member.health.Score(in_use, this->profile.median());
+  return {index, in_use, score, member.health.learning()};
 }
 
 PickedTarget ServiceRouter::Choose(const std::vector<TargetCandidate>& candidates,
--- a/pistachio/request/target_choice.cc
+++ b/pistachio/request/target_choice.cc
@@ -7,6 +7,7 @@
 constexpr std::size_t kAll = 0;
 constexpr std::size_t kTwo = 2;
 constexpr std::size_t kLatencyAwareSample = 6;
+constexpr std::uint64_t kPicksPerExploration = 8;
 
 struct Chooser {
   const std::vector<TargetCandidate>& candidates;
@@ -28,6 +29,15 @@
   std::size_t operator()(LeastOutstandingChoice& /*choice*/) const { return this->FewestInUse(); }
   std::size_t operator()(TwoChoices& /*choice*/) const { return this->FewestInUse(); }
   std::size_t operator()(LatencyAwareChoice& /*choice*/) const {
+    // Or a target that is new or on probation would get nothing while better known ones are idle.
+    if (this->random() % kPicksPerExploration == 0) {
+      const auto learning =
+          std::find_if(this->candidates.begin(), this->candidates.end(),
+                       [](const TargetCandidate& candidate) { return candidate.learning; });
+      if (learning != this->candidates.end()) {
+        return static_cast<std::size_t>(learning - this->candidates.begin());
+      }
+    }
     const auto best = std::min_element(
         this->candidates.begin(), this->candidates.end(),
         [](const TargetCandidate& a, const TargetCandidate& b) { return a.score < b.score; });
--- a/pistachio/request/target_choice.h
+++ b/pistachio/request/target_choice.h
@@ -34,7 +34,8 @@
 struct TargetCandidate {
   std::size_t member = 0;  ///< index in the service's list of targets
   std::uint32_t in_use = 0;
-  double score = 0.0;  ///< expected latency, lower is better
+  double score = 0.0;     ///< expected latency, lower is better
+  bool learning = false;  ///< little is known of its latency yet
 };
 
 /// \returns whether \a choice adapts to the latency and the failures of targets.
--- a/pistachio/request/target_health.cc
+++ b/pistachio/request/target_health.cc
@@ -82,11 +82,13 @@
   return std::min(slots, static_cast<std::uint32_t>(this->limit));
 }
 
+bool TargetHealth::learning() const { return this->samples < kSlowStartSamples; }
+
 double TargetHealth::Score(std::uint32_t attempts, std::optional<Duration> typical) const {
   const double typical_us = typical ? static_cast<double>(typical->count()) : 1.0;
   const double expected_us = this->samples == 0 ? typical_us : this->latency_us;
   double score = expected_us * (attempts + 1) / this->limit;
-  if (this->samples < kSlowStartSamples) {
+  if (this->learning()) {
     score *= kSlowStartPenalty;
   }
   if (this->failures_in_a_row > 0) {
--- a/pistachio/request/target_health.h
+++ b/pistachio/request/target_health.h
@@ -40,6 +40,8 @@
   bool ejected() const { return this->ejected_until.has_value(); }
   std::optional<TimePoint> ejection_end() const { return this->ejected_until; }
   bool probing() const { return this->probes_left > 0; }
+  /// \returns whether the target has answered too seldom for its latency to be known.
+  bool learning() const;
 
   /// \returns how many attempts may be in flight, at most \a slots.
   std::uint32_t ConcurrencyLimit(std::uint32_t slots) const;
