--- a/pistachio/connection/lease/peer_table.cc
+++ b/pistachio/connection/lease/peer_table.cc
@@ -48,8 +48,9 @@
       continue;
     }
     if (version > seen.version) {
-      seen = Observation{record, version, now};
+      seen = Observation{record, version, now, now};
     }
+    seen.confirmed = now;
     const auto attempt = this->expelling.find(member);
     if (attempt != this->expelling.end() && attempt->second.version < version) {
       this->expelling.erase(attempt);
@@ -123,7 +124,9 @@
   std::vector<MemberId> found;
   for (const auto& [member, seen] : this->observed) {
     const auto promised = this->promised_until.find(member);
-    const bool lapsed = now >= seen.since + this->timing.term + this->timing.drift_margin;
+    // Only a read shows that the record did not change; time that passed without one does not.
+    const Duration unchanged = seen.confirmed - seen.since;
+    const bool lapsed = unchanged >= this->timing.term + this->timing.drift_margin;
     const bool bound = promised != this->promised_until.end() && now < promised->second;
     const bool skip =
         member == this->self || seen.record.state != MemberState::kLive || !lapsed || bound;
--- a/pistachio/connection/lease/peer_table.h
+++ b/pistachio/connection/lease/peer_table.h
@@ -79,7 +79,8 @@
   struct Observation {
     MemberRecord record;
     std::uint64_t version = 0;
-    TimePoint since;  ///< when this version was first read
+    TimePoint since;      ///< when this version was first read
+    TimePoint confirmed;  ///< when it was last read
   };
 
   struct ExpelAttempt {
--- a/tests/lease/membership_test.cc
+++ b/tests/lease/membership_test.cc
@@ -128,6 +128,20 @@
   REQUIRE(a.logic.act_until() <= cluster.now);
 }
 
+TEST_CASE("quiet members write their own records only, once in a renewal interval", "[lease]") {
+  Cluster cluster;
+  Member& a = cluster.Add("a", 1, {HostId("b"), HostId("c")});
+  cluster.Add("b", 1, {HostId("a"), HostId("c")});
+  cluster.Add("c", 1, {HostId("a"), HostId("b")});
+  cluster.Run(std::chrono::minutes(2));
+  const StoreCounts before = cluster.store.counts();
+  constexpr int kRenewals = 40;
+  cluster.Run(LeaseTiming{}.renew_every * kRenewals);
+  REQUIRE(a.logic.roster().members.size() == 3);
+  REQUIRE(cluster.store.counts().writes - before.writes <= 3 * (kRenewals + 1));
+  REQUIRE(cluster.store.counts().conflicts == before.conflicts);
+}
+
 TEST_CASE("a record read before a pause gives no unit to a member whose lease ran out", "[lease]") {
   Cluster cluster;
   Member& a = cluster.Add("a", 1, {HostId("b")});
