--- a/bench/lease/lease_bench.cc
+++ b/bench/lease/lease_bench.cc
@@ -50,6 +50,7 @@
 
 std::vector<HostId> HostNames(int count) {
   std::vector<HostId> hosts;
+  hosts.reserve(count);
   for (int host = 0; host < count; host++) {
     hosts.emplace_back(fmt::format("host-{:02}", host));
   }
@@ -58,6 +59,7 @@
 
 std::vector<UnitId> UnitNames(int count) {
   std::vector<UnitId> units;
+  units.reserve(count);
   for (int unit = 0; unit < count; unit++) {
     units.emplace_back(fmt::format("rack-{:03}", unit));
   }
