--- a/tests/lease/membership_test.cc
+++ b/tests/lease/membership_test.cc
@@ -135,8 +135,8 @@
   cluster.Add("c", 1, {HostId("a"), HostId("b")});
   cluster.Run(std::chrono::minutes(2));
   const StoreCounts before = cluster.store.counts();
-  constexpr int kRenewals = 40;
-  cluster.Run(LeaseTiming{}.renew_every * kRenewals);
+  constexpr std::uint64_t kRenewals = 40;
+  cluster.Run(LeaseTiming{}.renew_every * static_cast<int>(kRenewals));
   REQUIRE(a.logic.roster().members.size() == 3);
   REQUIRE(cluster.store.counts().writes - before.writes <= 3 * (kRenewals + 1));
   REQUIRE(cluster.store.counts().conflicts == before.conflicts);
