--- a/pistachio/connection/lease/membership.h
+++ b/pistachio/connection/lease/membership.h
@@ -128,6 +128,8 @@
   void Vouch(TimePoint now);
   void Refresh(TimePoint now);
   void UpdateRoster(TimePoint now);
+  std::vector<MemberId> GoneToRetire(TimePoint now) const;
+  std::vector<MemberId> IdleToDrop(TimePoint now) const;
   void Expel(TimePoint now);
   void DeleteGoneRecords(TimePoint now);
   void DecideUnits(TimePoint now);
--- a/pistachio/connection/lease/membership_decisions.cc
+++ b/pistachio/connection/lease/membership_decisions.cc
@@ -138,39 +138,53 @@
   return internal::RendezvousWinner(this->HeardMembers(now), about.str()) == this->self;
 }
 
+std::vector<MemberId> Membership::GoneToRetire(TimePoint now) const {
+  std::vector<MemberId> found;
+  for (const MemberId& gone : this->table.GoneIn(this->known_roster)) {
+    if (gone != this->self && (!this->IsMember() || this->IsFirstFor(gone, now))) {
+      found.push_back(gone);
+    }
+  }
+  return found;
+}
+
+std::vector<MemberId> Membership::IdleToDrop(TimePoint now) const {
+  std::vector<MemberId> found;
+  for (const RetiredMember& retired : this->known_roster.retired) {
+    if (this->division.IsIdle(retired, now) && this->IsFirstFor(retired.member, now)) {
+      found.push_back(retired.member);
+    }
+  }
+  return found;
+}
+
 void Membership::UpdateRoster(TimePoint now) {
   const bool blocked = this->record_version == 0 || this->ended || this->left ||
                        this->IsPending<internal::RosterWriteSent>();
   if (blocked) {
     return;
   }
+  const std::vector<MemberId> gone = this->GoneToRetire(now);
+  const std::vector<MemberId> idle = this->IdleToDrop(now);
+  const bool joins = !this->IsMember() && !this->leaving;
+  if (gone.empty() && idle.empty() && !joins) {
+    return;
+  }
   Roster next = this->known_roster;
-  const auto retire = [&](const MemberId& member) {
+  next.version++;
+  for (const MemberId& member : gone) {
     next.joined.erase(member);
     next.members.erase(std::find(next.members.begin(), next.members.end(), member));
     next.retired.push_back(RetiredMember{member, this->table.IsStopped(member)});
-  };
-  bool changed = false;
-  for (const MemberId& gone : this->table.GoneIn(this->known_roster)) {
-    if (gone != this->self && (!this->IsMember() || this->IsFirstFor(gone, now))) {
-      retire(gone);
-      changed = true;
-    }
   }
-  const auto idle = [&](const RetiredMember& retired) {
-    return this->division.IsIdle(retired, now) && this->IsFirstFor(retired.member, now);
+  const auto is_idle = [&](const RetiredMember& retired) {
+    return std::find(idle.begin(), idle.end(), retired.member) != idle.end();
   };
-  const auto kept = std::remove_if(next.retired.begin(), next.retired.end(), idle);
-  changed = changed || kept != next.retired.end();
-  next.retired.erase(kept, next.retired.end());
-  next.version++;
-  if (!this->IsMember() && !this->leaving) {
+  next.retired.erase(std::remove_if(next.retired.begin(), next.retired.end(), is_idle),
+                     next.retired.end());
+  if (joins) {
     next.members.push_back(this->self);
     next.joined[this->self] = next.version;
-    changed = true;
-  }
-  if (!changed) {
-    return;
   }
   this->Call(
       StoreRole::kMembership,
