Tasks: fault matrix on the pure code; owners without the right to act stop nothing

Change: stops, forgets, reactions and drains wait for the right to act, as starts do; renewals alone go on past it.

--- a/pistachio/process/tasks/rack_commands.cc
+++ b/pistachio/process/tasks/rack_commands.cc
@@ -79,7 +79,8 @@
 }
 
 void RackController::SendStop(Placement& placement) {
-  if (placement.stop_in_flight || this->now < placement.next_stop) {
+  const bool may_act = this->now < this->act_until;
+  if (!may_act || placement.stop_in_flight || this->now < placement.next_stop) {
     return;
   }
   const bool batch = this->SpecOf(placement.task.job).kind == WorkKind::kBatch;
--- a/pistachio/process/tasks/rack_reports.cc
+++ b/pistachio/process/tasks/rack_reports.cc
@@ -103,6 +103,11 @@
 
 void RackController::TakeStray(RackTarget& target, const TargetTask& row) {
   const TargetId& id = target.view.target;
+  if (this->now >= this->act_until) {
+    // To an owner that was replaced, all that its successor started looks like a stray.
+    target.strays.emplace(row.task, row.attempt);
+    return;
+  }
   if (row.state == TargetTaskState::kRunning) {
     target.strays.emplace(row.task, row.attempt);
     this->Report(
--- a/pistachio/process/tasks/rack_timers.cc
+++ b/pistachio/process/tasks/rack_timers.cc
@@ -76,6 +76,9 @@
 }
 
 void RackController::ReactToReports() {
+  if (this->now >= this->act_until) {
+    return;
+  }
   std::vector<Reaction> reactions;
   for (auto& [id, target] : this->targets) {
     if (!std::exchange(target.unread_report, false)) {
@@ -117,6 +120,9 @@
 }
 
 void RackController::LeaveTargets() {
+  if (this->now >= this->act_until) {
+    return;
+  }
   std::vector<TaskId> leaving;
   for (const auto& [task, placement] : this->placements) {
     const TargetStanding standing = this->targets.at(placement.target).standing;
--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <set>
 
-#include "pistachio/process/tasks/internal/queue_records.h"
-
 namespace pistachio::testing {
 
 namespace {
@@ -258,6 +256,21 @@
   }
 }
 
+CommandAnswer World::Deliver(const SendCommand& send) {
+  FakeTarget& target = this->targets.at(send.target);
+  const CommandAnswer answer = target.Handle(send.epoch, send.command, this->now);
+  const auto* start = std::get_if<StartCommand>(&send.command);
+  if (start != nullptr && answer.status == CommandStatus::kDone) {
+    const auto [other, first] =
+        this->starts.emplace(std::make_pair(start->task, start->attempt), send.target);
+    if (!first && other->second != send.target) {
+      this->violations.push_back("one attempt of " + start->task.str() + " started on " +
+                                 other->second.str() + " and " + send.target.str());
+    }
+  }
+  return answer;
+}
+
 void World::SendToTarget(const RackOwner& owner, const SendCommand& send) {
   const Step step = StepOf(send.command);
   const Fault fault = this->Ask(step, send.target);
@@ -278,17 +291,14 @@
   const Duration delay = fault == Fault::kDelayed ? kCommandBound - milliseconds(1) : kMessageDelay;
   const bool lost_answer = fault == Fault::kLostAfter || fault == Fault::kDelayed;
   this->At(this->now + delay, [this, owner, step, send, lost_answer] {
-    CommandAnswer answer =
-        this->targets.at(send.target).Handle(send.epoch, send.command, this->now);
+    CommandAnswer answer = this->Deliver(send);
     if (lost_answer) {
       answer = {CommandStatus::kUnknown, "no answer", {}, {}};
     }
     this->Answer(owner, AnswerOf(step), send, answer);
   });
   if (fault == Fault::kDuplicated) {
-    this->At(this->now + kCommandBound - milliseconds(1), [this, send] {
-      this->targets.at(send.target).Handle(send.epoch, send.command, this->now);
-    });
+    this->At(this->now + kCommandBound - milliseconds(1), [this, send] { this->Deliver(send); });
   }
 }
 
--- a/tests/tasks/world.h
+++ b/tests/tasks/world.h
@@ -94,7 +94,7 @@
   std::vector<std::string> violations;
   std::map<Step, int> step_counts;
   std::map<TargetId, FakeTarget> targets;
-  std::map<TaskId, int> finishes_recorded;  ///< by the queue's committed records
+  std::map<std::pair<TaskId, AttemptNumber>, TargetId> starts;  ///< carried out by a target
   std::vector<EventRecord> events;
   TimePoint now;
 
@@ -113,6 +113,7 @@
   void Feed(const RackOwner& owner, const RackEvent& event);
   void Act(const QueueOwner& owner, const QueueAction& action);
   void Act(const RackOwner& owner, const RackAction& action);
+  CommandAnswer Deliver(const SendCommand& send);
   void SendToTarget(const RackOwner& owner, const SendCommand& send);
   void Answer(const RackOwner& owner, Step step, const SendCommand& send, CommandAnswer answer);
   template <class OwnerPtr>
