--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -274,6 +274,11 @@
 void World::SendToTarget(const RackOwner& owner, const SendCommand& send) {
   const Step step = StepOf(send.command);
   const Fault fault = this->Ask(step, send.target);
+  if (fault == Fault::kHolderPaused) {
+    // The owner stands still between its decision and the first byte.
+    this->At(owner->paused_until, [this, owner, send] { this->SendToTarget(owner, send); });
+    return;
+  }
   if (send.not_after && this->now >= *send.not_after) {
     this->Answer(owner, AnswerOf(step), send, {CommandStatus::kNotSent, "too late", {}, {}});
     return;
@@ -325,7 +330,7 @@
     return;
   }
   const Fault fault = this->Ask(step);
-  if (owner->dead || this->now < owner->paused_until || this->now < this->service_down_until) {
+  if (owner->dead || this->now < this->service_down_until) {
     return;
   }
   const std::size_t count = owner->pending.size();
