--- a/pistachio/process/tasks/internal/record_codec.cc
+++ b/pistachio/process/tasks/internal/record_codec.cc
@@ -144,7 +144,7 @@
   spec.service = ServiceId(reader.Text());
   spec.work_class = WorkClass(reader.Text());
   spec.priority = static_cast<std::int32_t>(reader.Number(kMaxPriority));
-  spec.count = reader.Number32();
+  spec.count = static_cast<std::uint32_t>(reader.Number(kMaxTasksPerJob));
   spec.declared.cpu_millis = Amount(reader);
   spec.declared.memory_mib = Amount(reader);
   spec.declared.accelerators = Amount(reader);
--- a/pistachio/process/tasks/job_queue.cc
+++ b/pistachio/process/tasks/job_queue.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxTasksPerJob = 100000;
 constexpr std::int32_t kMaxPriority = 1000;
 
 std::string FaultOf(const JobSpec& spec) {
--- a/pistachio/process/tasks/queue_recovery.cc
+++ b/pistachio/process/tasks/queue_recovery.cc
@@ -59,6 +59,10 @@
 }
 
 bool JobQueue::Apply(const internal::QueueJobRecord& record) {
+  const bool again = this->known_jobs.count(record.spec.job) > 0;
+  if (again || this->job_names.count(record.number) > 0 || record.spec.count == 0) {
+    return false;
+  }
   QueueJob job;
   job.spec = record.spec;
   job.number = record.number;
@@ -110,9 +114,14 @@
   if (job == nullptr || record.stage > static_cast<std::uint32_t>(QueueStage::kCancelled)) {
     return false;
   }
+  QueueTask& task = job->tasks[record.index];
+  const bool assigned = record.stage == static_cast<std::uint32_t>(QueueStage::kAssigned);
+  const bool untouched = task.stage == QueueStage::kWaiting && task.attempt == 0;
+  if (!untouched || (assigned && record.attempt == 0)) {
+    return false;
+  }
   auto& waiting = job->waiting;
   waiting.erase(std::remove(waiting.begin(), waiting.end(), record.index), waiting.end());
-  QueueTask& task = job->tasks[record.index];
   task.attempt = record.attempt;
   task.checkpoint = record.checkpoint;
   task.failures = record.failures;
@@ -133,6 +142,9 @@
 }
 
 bool JobQueue::Apply(const internal::QueueDoneRecord& record) {
+  if (this->known_jobs.count(record.spec.job) > 0) {
+    return false;
+  }
   QueueJob job;
   job.spec = record.spec;
   job.finished = record.finished;
--- a/pistachio/process/tasks/types.h
+++ b/pistachio/process/tasks/types.h
@@ -16,6 +16,9 @@
 /// \brief Priority from which work counts as urgent and may preempt batch work of lower priority.
 constexpr std::int32_t kUrgentPriority = 900;
 
+/// \brief Bound on the tasks of one job.
+constexpr std::uint32_t kMaxTasksPerJob = 100000;
+
 /// \brief What an operator submits: a number of equal tasks.
 struct JobSpec {
   JobId job;
--- a/tests/tasks/fault_matrix.cc
+++ b/tests/tasks/fault_matrix.cc
@@ -52,7 +52,7 @@
   world.Run(seconds(4));
   world.Cancel(JobId("logs"));
   world.Run(seconds(4));
-  world.Drain(TargetId("t1"));
+  world.SetStanding(TargetId("t1"), TargetStanding::kDrained);
   world.Run(seconds(40));
   world.CheckpointLedgers();
   // Operators repeat what they got no answer to.
--- a/tests/tasks/flow_test.cc
+++ b/tests/tasks/flow_test.cc
@@ -26,7 +26,7 @@
   world.Run(seconds(5));
   world.Submit(BatchJob("audit", 4, seconds(30), 1000));
   world.Run(seconds(10));
-  world.Drain(TargetId("t1"));
+  world.SetStanding(TargetId("t1"), TargetStanding::kDrained);
   world.Run(seconds(60));
   const JobStatus status = world.StatusOf(JobId("audit"));
   CHECK(status.finished == 4);
--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -135,7 +135,9 @@
   this->At(this->now, [this, job] { this->ToQueue(JobCancelled{job}); });
 }
 
-void World::Drain(const TargetId& target) { this->standings[target] = TargetStanding::kDrained; }
+void World::SetStanding(const TargetId& target, TargetStanding standing) {
+  this->standings[target] = standing;
+}
 
 JobStatus World::StatusOf(const JobId& job) {
   for (const JobStatus& row : this->queue().jobs()) {
--- a/tests/tasks/world.h
+++ b/tests/tasks/world.h
@@ -80,7 +80,7 @@
 
   void Submit(const JobSpec& spec);
   void Cancel(const JobId& job);
-  void Drain(const TargetId& target);
+  void SetStanding(const TargetId& target, TargetStanding standing);
   void Run(Duration time);
   void Strike(Fault fault, bool queue_side, const TargetId& target);
   void CheckpointLedgers();
