--- a/bench/placement/placement.cc
+++ b/bench/placement/placement.cc
@@ -76,7 +76,8 @@
     TargetView view;
     view.target = TargetId("w" + std::to_string(i));
     view.capacity = {16000, 61440, 2};
-    view.committed = {(i % 13) * 1000, (i % 13) * 2048, 0};
+    const std::int64_t tasks = i % 13;
+    view.committed = {tasks * 1000, tasks * 2048, 0};
     views.push_back(view);
   }
   Policy policy = LeastCommittedPolicy{};
--- a/tests/tasks/fault_matrix_test.cc
+++ b/tests/tasks/fault_matrix_test.cc
@@ -24,8 +24,8 @@
         ++cells;
         struck = struck || result.struck;
         INFO(TextOf(cell));
-        const std::string findings = result.findings.empty() ? "" : result.findings.front();
-        CHECK(findings == "");
+        CAPTURE(result.findings);
+        CHECK(result.findings.empty());
       }
       INFO(NameOf(static_cast<Step>(step)));
       REQUIRE(struck);
--- a/tests/tasks/records_test.cc
+++ b/tests/tasks/records_test.cc
@@ -64,10 +64,9 @@
   internal::QueueEndRecord queue_end;
   queue_end.job = 12000;
   queue_end.index = 250;
-  const std::size_t life = internal::EncodeQueueRecord(assign).size() +
-                           internal::EncodeRackRecord(intent).size() +
-                           internal::EncodeRackRecord(rack_end).size() +
-                           internal::EncodeQueueRecord(queue_end).size();
+  const std::size_t life =
+      internal::EncodeQueueRecord(assign).size() + internal::EncodeRackRecord(intent).size() +
+      internal::EncodeRackRecord(rack_end).size() + internal::EncodeQueueRecord(queue_end).size();
   INFO(life);
   CHECK(life < kMaxBytesPerLife);
 }
--- a/tests/tasks/stateful_fuzz_test.cc
+++ b/tests/tasks/stateful_fuzz_test.cc
@@ -35,7 +35,7 @@
 struct SubmitJob : Step {
   std::string name = "j" + std::to_string(*rc::gen::inRange(0, 6));
   std::uint32_t count = *rc::gen::inRange(1U, 7U);
-  std::int64_t cpu_millis = 500 * *rc::gen::inRange(1, 7);
+  std::int64_t cpu_millis = 500 * *rc::gen::inRange<std::int64_t>(1, 7);
   bool urgent = *rc::gen::inRange(0, 4) == 0;
 
   void checkPreconditions(const Model& model) const override {
--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -260,7 +260,7 @@
 
 CommandAnswer World::Deliver(const SendCommand& send) {
   FakeTarget& target = this->targets.at(send.target);
-  const CommandAnswer answer = target.Handle(send.epoch, send.command, this->now);
+  CommandAnswer answer = target.Handle(send.epoch, send.command, this->now);
   const auto* start = std::get_if<StartCommand>(&send.command);
   if (start != nullptr && answer.status == CommandStatus::kDone) {
     const auto [other, first] =
