--- a/pistachio/process/tasks/rack_commands.cc
+++ b/pistachio/process/tasks/rack_commands.cc
@@ -28,8 +28,10 @@
 
 void RackController::ExtendLease(Placement& placement) {
   const RackLimits& bounds = this->limits;
-  placement.sure_stopped_at =
+  const TimePoint end =
       this->now + bounds.command_timeout + bounds.task_lease_term + bounds.drift_margin;
+  // After a takeover the earlier owner may renew for longer than this owner has asked for.
+  placement.sure_stopped_at = std::max(placement.sure_stopped_at, end);
 }
 
 void RackController::Start(Placement& placement) {
--- a/pistachio/process/tasks/rack_ends.cc
+++ b/pistachio/process/tasks/rack_ends.cc
@@ -29,12 +29,12 @@
   ended.record = this->Append(record, spec.priority >= kUrgentPriority || !this->waiting.empty());
   this->awaiting_commit.emplace_back(ended.record, task);
   this->Release(placement);
-  this->placements.erase(task);
+  this->placements.erase(task);  // which may hold what `reason` refers to
   this->Report(EventCode::kTaskEnded, {{"task", task.str()},
                                        {"attempt", std::to_string(placement.attempt)},
                                        {"target", placement.target.str()},
                                        {"outcome", NameOf(outcome)},
-                                       {"reason", reason}});
+                                       {"reason", record.reason}});
 }
 
 void RackController::Refuse(const TaskId& task, AttemptNumber attempt, const UnitId& queue,
--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -54,7 +54,8 @@
 const char* NameOf(Fault fault) {
   static const char* const kNames[kFaultCount] = {
       "none",          "lost before", "lost after",  "duplicated", "delayed past the lease",
-      "holder paused", "holder dead", "target dead", "target cut", "service down"};
+      "holder paused", "holder dead", "target dead", "target cut", "service down",
+      "holder cut off"};
   return kNames[static_cast<int>(fault)];
 }
 
@@ -119,6 +120,14 @@
     case Fault::kTargetCut:
       this->cut_until[struck] = this->now + kLongFault;
       return;
+    case Fault::kHolderCut:
+      if (queue_side) {
+        this->queue_owners.back()->cut_until = this->now + kLongFault;
+      } else {
+        this->rack_owners.back()->cut_until = this->now + kLongFault;
+        this->hidden_until[struck] = this->now + 2 * kLongFault;
+      }
+      return;
     case Fault::kServiceDown:
       this->service_down_until = this->now + kLongFault;
       return;
@@ -228,6 +237,8 @@
 void World::Act(const QueueOwner& owner, const QueueAction& action) {
   if (const auto* append = std::get_if<AppendRecord>(&action)) {
     owner->pending.push_back(*append);
+  } else if (this->now < owner->cut_until) {
+    return;  // no message leaves
   } else if (const auto* assign = std::get_if<SendAssignment>(&action)) {
     const AssignmentReceived event{assign->assignment};
     this->Carry(Step::kAssignment, true, [this, event] { this->ToRack(event); });
@@ -247,6 +258,8 @@
     owner->pending.push_back(*append);
   } else if (const auto* send = std::get_if<SendCommand>(&action)) {
     this->SendToTarget(owner, *send);
+  } else if (this->now < owner->cut_until) {
+    return;  // no message leaves
   } else if (const auto* confirm = std::get_if<ConfirmAssignment>(&action)) {
     const AssignmentConfirmed event{confirm->task, confirm->attempt};
     this->Carry(Step::kConfirmation, false, [this, event] { this->ToQueue(event); });
@@ -285,7 +298,9 @@
     this->Answer(owner, AnswerOf(step), send, {CommandStatus::kNotSent, "too late", {}, {}});
     return;
   }
-  const bool gone = this->now < this->cut_until[send.target] ||
+  const bool hidden =
+      this->now < this->hidden_until[send.target] && owner->cut_until == TimePoint{};
+  const bool gone = hidden || this->now < this->cut_until[send.target] ||
                     this->now < this->dead_until[send.target] || fault == Fault::kLostBefore;
   if (gone) {
     const bool known = fault == Fault::kNone && send.command_id % 2 == 0;
@@ -327,7 +342,8 @@
 
 template <class OwnerPtr>
 void World::Flush(const OwnerPtr& owner, FakeLedger& ledger, Step step) {
-  const bool stopped = owner->dead || this->now < owner->paused_until || owner->busy;
+  const bool away = this->now < owner->paused_until || this->now < owner->cut_until;
+  const bool stopped = owner->dead || away || owner->busy;
   if (stopped || owner->pending.empty() || this->now < this->service_down_until) {
     return;
   }
@@ -413,8 +429,8 @@
   this->Check();
   const bool service = this->now >= this->service_down_until;
   const auto keep = [&](const auto& owner, const FakeLedger& ledger) {
-    const bool holds =
-        !owner->dead && this->now >= owner->paused_until && owner->epoch == ledger.epoch && service;
+    const bool holds = !owner->dead && this->now >= owner->cut_until &&
+                       this->now >= owner->paused_until && owner->epoch == ledger.epoch && service;
     if (holds) {
       owner->act_until = this->now + kLease;
       this->Feed(owner, ActUntilChanged{owner->act_until});
@@ -423,8 +439,8 @@
   keep(this->queue_owners.back(), this->queue_ledger);
   keep(this->rack_owners.back(), this->rack_ledger);
   const auto lapsed = [&](const auto& owner) {
-    return service && this->now >= owner->act_until + seconds(1) &&
-           (owner->dead || this->now < owner->paused_until);
+    const bool away = this->now < owner->paused_until || this->now < owner->cut_until;
+    return service && this->now >= owner->act_until + seconds(1) && (owner->dead || away);
   };
   if (lapsed(this->queue_owners.back())) {
     this->TakeOverQueue();
--- a/tests/tasks/world.h
+++ b/tests/tasks/world.h
@@ -46,8 +46,9 @@
   kTargetDead,    ///< a target is gone for 40 s and restarts empty
   kTargetCut,     ///< a target can't be reached for 40 s and goes on by itself
   kServiceDown,   ///< the key-value service commits nothing for 40 s
+  kHolderCut,     ///< the owner reaches targets only; one of them can't be reached by another owner
 };
-constexpr int kFaultCount = 10;
+constexpr int kFaultCount = 11;
 const char* NameOf(Fault fault);
 
 /// \brief A unit's log in the key-value service: commits in order, one epoch at a time.
@@ -65,6 +66,7 @@
   Epoch epoch = 0;
   TimePoint paused_until{};
   TimePoint act_until{};
+  TimePoint cut_until{};  ///< from the service, the peers and the other units
   bool dead = false;
   bool busy = false;  ///< a commit is in flight
   std::vector<AppendRecord> pending = {};
@@ -131,6 +133,7 @@
   std::multimap<TimePoint, std::function<void()>> agenda;
   std::map<TargetId, TimePoint> cut_until;
   std::map<TargetId, TimePoint> dead_until;
+  std::map<TargetId, TimePoint> hidden_until;  ///< from every owner but the one that was cut off
   std::map<TargetId, TargetStanding> standings;
   TimePoint service_down_until{};
   TimePoint next_room{};
