--- a/pistachio/process/policy/policy_settings.h
+++ b/pistachio/process/policy/policy_settings.h
@@ -11,7 +11,7 @@
 struct PolicyWeights {
   double tail = 10.0;       ///< cost of all answers of one service instance being late
   double throughput = 1.0;  ///< cost of one batch task standing still
-  double eviction = 5.0;    ///< cost of one eviction
+  double eviction = 5.0;    ///< predicted cost from which one eviction is worth it
 };
 
 /// \brief Parts of the interference policy, each of which can be turned off to see what it brings.
@@ -37,7 +37,7 @@
 
 /// \brief When the policy throttles, restores and evicts.
 struct ReactionSettings {
-  double slow_ratio = 1.8;                ///< latency over the service's best that is too slow
+  double slow_ratio = 2.2;                ///< latency over the service's best that is too slow
   double calm_ratio = 1.3;                ///< latency ratio below which throttled work may speed up
   std::uint32_t samples_to_throttle = 3;  ///< slow measurements in a row
   std::uint32_t samples_to_restore = 4;   ///< calm measurements in a row
