--- a/bench/policy/deployment.cc
+++ b/bench/policy/deployment.cc
@@ -78,10 +78,11 @@
   deployment.capacity.memory_mib = target["memory_mib"].value_or<std::int64_t>(0);
   deployment.capacity.accelerators = target["accelerators"].value_or<std::int64_t>(0);
   deployment.slots = static_cast<std::size_t>(target["slots"].value_or<std::int64_t>(0));
-  const auto weights = file["policy"]["weights"];
-  deployment.weights.tail = weights["tail"].value_or(deployment.weights.tail);
-  deployment.weights.throughput = weights["throughput"].value_or(deployment.weights.throughput);
-  deployment.weights.eviction = weights["eviction"].value_or(deployment.weights.eviction);
+  const auto weights = file["policy"];
+  deployment.weights.tail = weights["tail_latency"].value_or(deployment.weights.tail);
+  deployment.weights.throughput =
+      weights["batch_throughput"].value_or(deployment.weights.throughput);
+  deployment.weights.eviction = weights["evictions"].value_or(deployment.weights.eviction);
   if (deployment.targets.empty() || deployment.slots == 0) {
     *reason = path + ": no targets or no slots";
     return std::nullopt;
--- a/pistachio/process/policy/interference_reactions.cc
+++ b/pistachio/process/policy/interference_reactions.cc
@@ -93,7 +93,7 @@
 std::optional<Reaction> InterferencePolicy::Evict(const TargetView& view, TimePoint now) {
   const ReactionSettings& reaction = this->settings.reaction;
   const auto chosen = this->settings.parts.evict ? this->MostHarmful(view, 0.0) : std::nullopt;
-  if (!chosen) {
+  if (!chosen || this->HarmOf(this->TenancyOf(view), *chosen) < this->settings.weights.eviction) {
     return std::nullopt;
   }
   const Neighbour& neighbour = view.neighbours[*chosen];
--- a/pistachio/process/policy/policy_settings.h
+++ b/pistachio/process/policy/policy_settings.h
@@ -45,7 +45,7 @@
   double throttle_step = 0.5;             ///< factor of one throttle step
   double lowest_throttle = 0.25;          ///< share of its speed that work always keeps
   Duration settle = std::chrono::seconds(10);  ///< from an action to its full effect
-  std::uint32_t evictions_per_window = 1;      ///< eviction budget of this policy instance
+  std::uint32_t evictions_per_window = 0;      ///< eviction budget; 0 leaves it at throttling
   Duration eviction_window = std::chrono::minutes(30);
 };
 
--- a/tests/policy/reaction_test.cc
+++ b/tests/policy/reaction_test.cc
@@ -155,6 +155,7 @@
 TEST_CASE("work is moved only at the lowest throttle, and within the budget") {
   InterferenceSettings settings;
   settings.reaction.evictions_per_window = 2;
+  settings.weights.eviction = 0.0;
   Host host(settings);
   int throttles = 0;
   int evictions = 0;
@@ -183,6 +184,23 @@
   CHECK(told);
 }
 
+TEST_CASE("without a budget, or when it is not worth its weight, nothing is moved") {
+  InterferenceSettings no_budget;
+  no_budget.weights.eviction = 0.0;
+  no_budget.reaction.evictions_per_window = 0;
+  InterferenceSettings dear;
+  dear.weights.eviction = 1e6;
+  dear.reaction.evictions_per_window = 100;
+  for (const auto& settings : {no_budget, dear}) {
+    Host host(settings);
+    for (int i = 0; i < 300; ++i) {
+      for (const Reaction& reaction : host.Measure(kSlow)) {
+        CHECK(reaction.kind == ReactionKind::kThrottle);
+      }
+    }
+  }
+}
+
 TEST_CASE("simple policies never react") {
   Host host;
   host.policy = LeastCommittedPolicy{};
