--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -9,6 +9,7 @@
 
 #include "bench/policy/contestants.h"
 #include "bench/policy/deployment.h"
+#include "bench/policy/place_cost.h"
 #include "bench/policy/report.h"
 #include "bench/policy/scenario.h"
 #include "bench/policy/simulation.h"
@@ -16,8 +17,11 @@
 DEFINE_string(settings, "examples/settings", "folder of the example settings");
 DEFINE_string(out, "", "folder for the report, its plots and results.json; empty prints a table");
 DEFINE_string(scenarios, "all", "comma-separated names, or all");
-DEFINE_string(contestants, "all", "comma-separated names, all, or ablations");
+DEFINE_string(
+    contestants, "all",
+    "comma-separated names, all, or ablations; interference:calm_ratio=1.5;tail=20 sets numbers");
 DEFINE_int32(seeds, 5, "seeds of each scenario, from 1");
+DEFINE_bool(place_cost, false, "print the cost of one placement instead");
 DEFINE_int32(threads, 4, "runs at once");
 
 namespace pistachio::bench {
@@ -98,5 +102,5 @@
   gflags::SetUsageMessage(
       "Compares placement policies on simulated targets; the same flags give the same bytes.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return pistachio::bench::RunAll();
+  return FLAGS_place_cost ? pistachio::bench::PrintPlaceCost() : pistachio::bench::RunAll();
 }
