--- a/tests/request/hedge_test.cc
+++ b/tests/request/hedge_test.cc
@@ -105,5 +105,19 @@
   REQUIRE(driver.OutcomeOf(1).kind == OutcomeKind::kUnknown);
 }
 
+TEST_CASE("extra attempts leave the rack as long as another one has a free slot", "[retry]") {
+  BrokerDriver driver;
+  driver.Route(6, 2);
+  Learn(driver, 400);
+  for (ArrivalNumber i = 1; i <= 30; ++i) {
+    driver.sent.clear();
+    driver.Arrive(driver.NewSpec(true), i);
+    driver.Fail(driver.sent.at(0), AttemptFailure::kRefused);
+    REQUIRE(RackOf(driver.sent.at(0).target) != RackOf(driver.sent.at(1).target));
+    driver.Answer(driver.sent.at(1));
+    driver.Advance(std::chrono::seconds(40));
+  }
+}
+
 }  // namespace
 }  // namespace pistachio
--- a/tests/request/slots_test.cc
+++ b/tests/request/slots_test.cc
@@ -35,6 +35,22 @@
   REQUIRE(driver.sent.size() == 5);
 }
 
+TEST_CASE("every way to choose keeps to the slots", "[slots]") {
+  const std::vector<TargetChoice> choices{RandomChoice{}, RoundRobinChoice{},
+                                          LeastOutstandingChoice{}, TwoChoices{},
+                                          LatencyAwareChoice{}};
+  for (const TargetChoice& choice : choices) {
+    BrokerLimits limits;
+    limits.choice = choice;
+    BrokerDriver driver(limits);
+    driver.Route(3, 1);
+    for (ArrivalNumber i = 1; i <= 5; ++i) {
+      driver.Arrive(driver.NewSpec(false), i);
+    }
+    REQUIRE(driver.sent.size() == 3);
+  }
+}
+
 TEST_CASE("a leaving target gets no new work and finishes what it has", "[slots]") {
   BrokerDriver driver;
   driver.Handle(RouteTo(2, false));
