Policy: bound the events that wait to be taken

Cause: eviction-budget-spent was kept without a bound, so a caller that never takes events grew without end. Change: one bound of 1000 for every event; a test runs 20000 slow samples without taking any. Figures: the test counts 1000.

--- a/pistachio/process/policy/interference_policy.cc
+++ b/pistachio/process/policy/interference_policy.cc
@@ -126,11 +126,17 @@
   recent += internal::kDriftGain * (surprise - recent);
   const bool crossed =
       std::abs(before) < internal::kDriftSurprise && std::abs(recent) >= internal::kDriftSurprise;
-  if (crossed && this->events.size() < internal::kMaxPendingEvents) {
-    this->events.push_back({EventCode::kModelDrift,
-                            {{"class", sample.work_class.str()},
-                             {"target", view.target.str()},
-                             {"surprise", fmt::format("{:.2f}", recent)}}});
+  if (crossed) {
+    this->Note({EventCode::kModelDrift,
+                {{"class", sample.work_class.str()},
+                 {"target", view.target.str()},
+                 {"surprise", fmt::format("{:.2f}", recent)}}});
+  }
+}
+
+void InterferencePolicy::Note(EventRecord event) {
+  if (this->events.size() < internal::kMaxPendingEvents) {
+    this->events.push_back(std::move(event));
   }
 }
 
--- a/pistachio/process/policy/interference_policy.h
+++ b/pistachio/process/policy/interference_policy.h
@@ -50,6 +50,8 @@
   CostSettings Costs() const;
 
   void LearnSlowdown(const UsageSample& sample, const TargetView& view);
+  /// \brief Keeps an event for `TakeEvents`; beyond a bound the newest are dropped.
+  void Note(EventRecord event);
   void NoteSurprise(const UsageSample& sample, const TargetView& view, double surprise);
 
   std::optional<Reaction> Throttle(const TargetView& view);
--- a/pistachio/process/policy/interference_reactions.cc
+++ b/pistachio/process/policy/interference_reactions.cc
@@ -100,8 +100,8 @@
   const bool allowed =
       this->evictions.Take(now, reaction.evictions_per_window, reaction.eviction_window);
   if (!allowed) {
-    this->events.push_back({EventCode::kEvictionBudgetSpent,
-                            {{"target", view.target.str()}, {"task", neighbour.task.str()}}});
+    this->Note({EventCode::kEvictionBudgetSpent,
+                {{"target", view.target.str()}, {"task", neighbour.task.str()}}});
     return std::nullopt;
   }
   return internal::MakeReaction(
--- a/tests/policy/reaction_test.cc
+++ b/tests/policy/reaction_test.cc
@@ -201,6 +201,18 @@
   }
 }
 
+TEST_CASE("events that nobody takes stay bounded") {
+  InterferenceSettings settings;
+  settings.weights.eviction = 0.0;
+  settings.reaction.evictions_per_window = 0;
+  Host host(settings);
+  for (int i = 0; i < 20000; ++i) {
+    host.Measure(kSlow);
+  }
+  CHECK(TakeEvents(host.policy).size() == 1000);
+  CHECK(TakeEvents(host.policy).empty());
+}
+
 TEST_CASE("simple policies never react") {
   Host host;
   host.policy = LeastCommittedPolicy{};
