A peer that restarts during an outage does not stop the others' leases

Cause: with the service away, a voter that restarted was a stranger, and its old member a silent one. Change: a process that cannot promise answers with a length of zero. If it answers a request sent after its host's earlier member promised, while that promise holds, the earlier one has ended without an expulsion under way, so nothing is asked of it any more. New schedule in bench_lease.

--- a/bench/lease/lease_bench.cc
+++ b/bench/lease/lease_bench.cc
@@ -105,7 +105,10 @@
       {"a host dead 0.5 to 3 min", deaths},
       {"a host cut off 0.5 to 3 min", repeat(Outage::What::kHostCut, seconds(30), minutes(3))},
       {"a host cut off from the service", repeat(Outage::What::kStoreCut, minutes(1), minutes(5))},
-      {"long outages and deaths", both(long_outages, deaths)}};
+      {"long outages and deaths", both(long_outages, deaths)},
+      {"long outages and restarts of 3 s",
+       both(long_outages,
+            repeat(Outage::What::kHostDead, std::chrono::seconds(3), std::chrono::seconds(3)))}};
 }
 
 /// \brief Plays schedules against one kind of lease and adds up the time in which units are served.
--- a/pistachio/connection/lease/member_types.h
+++ b/pistachio/connection/lease/member_types.h
@@ -62,6 +62,9 @@
   std::uint64_t sequence = 0;
 };
 /// \brief Promises not to expel \a holder for \a valid_for, counted from when the request was sent.
+///
+/// With a length of zero nothing is promised; it shows that \a voucher ran when it answered, so
+/// that an earlier member of its host has ended.
 struct VouchPromise {
   MemberId voucher;
   MemberId holder;
--- a/pistachio/connection/lease/membership.cc
+++ b/pistachio/connection/lease/membership.cc
@@ -126,16 +126,17 @@
   if (request.holder == this->self) {
     return;
   }
-  if (!this->table.Promise(request.holder, this->known_roster, now)) {
+  const bool promised = this->table.Promise(request.holder, this->known_roster, now);
+  if (!promised) {
     this->Report(EventCode::kVouchRefused, {{"holder", request.holder.str()}});
-    return;
   }
+  const Duration valid_for = promised ? this->timing.term : Duration(0);
   this->Send(request.holder.host,
-             VouchPromise{this->self, request.holder, request.sequence, this->timing.term});
+             VouchPromise{this->self, request.holder, request.sequence, valid_for});
 }
 
-void Membership::OnMessage(const VouchPromise& promise, TimePoint /*now*/) {
-  this->lease.Promised(promise);
+void Membership::OnMessage(const VouchPromise& promise, TimePoint now) {
+  this->lease.Promised(promise, now);
 }
 
 void Membership::OnMessage(const UnitMoved& moved, TimePoint now) {
--- a/pistachio/connection/lease/membership_decisions.cc
+++ b/pistachio/connection/lease/membership_decisions.cc
@@ -85,7 +85,9 @@
   this->next_vouch = now + this->timing.heartbeat_every;
   const std::uint64_t round = this->lease.BeginVouchRound(now);
   for (const MemberId& voter : this->lease.voters()) {
-    this->Send(voter.host, VouchRequest{this->self, round});
+    if (!this->lease.HasEnded(voter)) {
+      this->Send(voter.host, VouchRequest{this->self, round});
+    }
   }
 }
 
--- a/pistachio/connection/lease/own_lease.cc
+++ b/pistachio/connection/lease/own_lease.cc
@@ -54,15 +54,34 @@
   return this->last_round;
 }
 
-void OwnLease::Promised(const VouchPromise& promise) {
+void OwnLease::Promised(const VouchPromise& promise, TimePoint now) {
   const auto round = this->rounds.find(promise.sequence);
   if (promise.holder != this->self || round == this->rounds.end()) {
     return;
   }
+  this->NoteEnded(promise.voucher, round->second, now);
+  if (promise.valid_for <= Duration(0)) {
+    return;
+  }
   const Duration valid_for = std::min(promise.valid_for, this->timing.term);
-  const TimePoint until = round->second + valid_for - this->timing.drift_margin;
-  TimePoint& known = this->promised_until[promise.voucher];
-  known = std::max(known, until);
+  Promise& known = this->promises[promise.voucher];
+  known.until = std::max(known.until, round->second + valid_for - this->timing.drift_margin);
+  known.received = now;
+}
+
+void OwnLease::NoteEnded(const MemberId& later, TimePoint asked, TimePoint now) {
+  for (auto& [voter, promise] : this->promises) {
+    const bool same_host = voter.host == later.host && voter != later;
+    // The voter ran before the question was asked and the other one after it: that is the order.
+    if (same_host && promise.received < asked && now < promise.until) {
+      promise.ended = true;
+    }
+  }
+}
+
+bool OwnLease::HasEnded(const MemberId& voter) const {
+  const auto promised = this->promises.find(voter);
+  return promised != this->promises.end() && promised->second.ended;
 }
 
 TimePoint OwnLease::PromisedUntil() const {
@@ -73,9 +92,13 @@
   }
   TimePoint until = this->rounds.rbegin()->second + this->timing.term - this->timing.drift_margin;
   for (const MemberId& voter : this->current_voters) {
-    const auto promised = this->promised_until.find(voter);
-    until =
-        std::min(until, promised == this->promised_until.end() ? TimePoint() : promised->second);
+    const auto promised = this->promises.find(voter);
+    if (promised == this->promises.end()) {
+      return TimePoint();
+    }
+    if (!promised->second.ended) {
+      until = std::min(until, promised->second.until);
+    }
   }
   return until;
 }
--- a/pistachio/connection/lease/own_lease.h
+++ b/pistachio/connection/lease/own_lease.h
@@ -26,8 +26,11 @@
   /// \brief Notes that requests for promises are about to be sent. \returns their sequence.
   std::uint64_t BeginVouchRound(TimePoint now);
 
-  /// \brief Takes a promise; one that answers no recent request of this member is ignored.
-  void Promised(const VouchPromise& promise);
+  /// \brief Takes an answer; one to no recent request of this member is ignored.
+  ///
+  /// An answer of a later member of a voter's host shows that the voter has ended. If the voter's
+  /// promise still held then, it never sent an expulsion and never will.
+  void Promised(const VouchPromise& promise, TimePoint now);
 
   /// \brief Gives up the right to act for good.
   void Release();
@@ -36,6 +39,9 @@
   /// \returns every other member that may expel this one, whichever of the renewals in doubt holds.
   const std::set<MemberId>& voters() const { return this->current_voters; }
 
+  /// \returns true if the voter is known to have ended while its promise held.
+  bool HasEnded(const MemberId& voter) const;
+
   /// \returns until when the record alone covers this member.
   TimePoint renewed_until() const { return this->record_until; }
 
@@ -49,7 +55,14 @@
     std::vector<MemberId> members;
   };
 
+  struct Promise {
+    TimePoint until{};
+    TimePoint received{};
+    bool ended = false;  ///< the voter ended while its promise held
+  };
+
   void RefreshVoters();
+  void NoteEnded(const MemberId& later, TimePoint asked, TimePoint now);
   TimePoint PromisedUntil() const;
 
   MemberId self;
@@ -62,7 +75,7 @@
   TimePoint record_until{};
   std::uint64_t last_round = 0;
   std::map<std::uint64_t, TimePoint> rounds;  // when recent rounds of requests were sent
-  std::map<MemberId, TimePoint> promised_until;
+  std::map<MemberId, Promise> promises;
 };
 
 }  // namespace pistachio::internal
--- a/tests/lease/membership_test.cc
+++ b/tests/lease/membership_test.cc
@@ -148,6 +148,23 @@
   REQUIRE(b.logic.roster().version == roster);
 }
 
+TEST_CASE("a peer that restarts at once during an outage does not stop the others", "[lease]") {
+  for (const Duration away : {Duration(std::chrono::seconds(3)), LeaseTiming{}.term * 2}) {
+    Cluster cluster;
+    Member& a = cluster.Add("a", 1, {HostId("b")});
+    Member& b = cluster.Add("b", 1, {HostId("a")});
+    cluster.Run(std::chrono::seconds(10));
+    cluster.fault = StoreFault::kDown;
+    cluster.Run(std::chrono::seconds(30));
+    b.running = false;
+    cluster.Run(away);
+    cluster.Add("b", 2, {HostId("a")});
+    cluster.Run(std::chrono::minutes(2));
+    const bool was_quick = away < LeaseTiming{}.term;
+    REQUIRE((a.logic.act_until() > cluster.now) == was_quick);
+  }
+}
+
 TEST_CASE("quiet members write their own records only, once in a renewal interval", "[lease]") {
   Cluster cluster;
   Member& a = cluster.Add("a", 1, {HostId("b"), HostId("c")});
