--- a/pistachio/connection/lease/membership_replies.cc
+++ b/pistachio/connection/lease/membership_replies.cc
@@ -223,6 +223,10 @@
   }
   const std::uint64_t version = VersionAfter(reply, write.expected_version);
   this->EmitUnitChange(write.unit, this->units.WriteLanded(write, version));
+  if (write.record.owner != this->self) {
+    this->Report(EventCode::kUnitHandedOver,
+                 {{"unit", write.unit.str()}, {"to", write.record.owner.str()}});
+  }
   const UnitMoved moved{this->self, write.unit, write.record.owner, write.record.epoch};
   this->recent_moves.push_back(moved);
   this->Broadcast(moved);
