pistachioctl: top goes on without a terminal; no word of asking again after the last try

Cause: top without a terminal ended after one refresh, since the end of its input counted as a key, and a change without a certain answer said once too often that it asks again.

Conclusion: seen with a small server on loopback: three rounds with no input, two repeats of three tries.

--- a/tools/pistachioctl/settings_commands.cc
+++ b/tools/pistachioctl/settings_commands.cc
@@ -187,7 +187,7 @@
       break;
     }
     request.repeated = true;
-    std::cerr << "no certain answer yet; asking again\n";
+    std::cerr << (i + 1 < kTries ? "no certain answer yet; asking again\n" : "");
   }
   if (change && !change->subtree.empty()) {
     return PrintChange(session, *change, request);
--- a/tools/pistachioctl/work_commands.cc
+++ b/tools/pistachioctl/work_commands.cc
@@ -216,8 +216,10 @@
 
 /// \brief Waits for a key up to \a span. \returns true if one was pressed.
 bool KeyPressed(std::chrono::milliseconds span) {
+  // Without a terminal there are no keys; the end of an input must not count as one.
+  const nfds_t inputs = isatty(STDIN_FILENO) == 1 ? 1 : 0;
   pollfd input{STDIN_FILENO, POLLIN, 0};
-  return poll(&input, 1, static_cast<int>(span.count())) > 0;
+  return poll(&input, inputs, static_cast<int>(span.count())) > 0;
 }
 
 ExitCode Top(const Session& session, std::uint32_t rounds) {
