Job queue: a task that was returned stands once among the waiting ones after a takeover

Cause: read back from the ledger, an assignment left the task's wait behind; a later return added another, and the task was assigned once for each: to two racks, it would have run twice. Change: an assignment ends the wait.

--- a/pistachio/process/tasks/internal/queue_state.h
+++ b/pistachio/process/tasks/internal/queue_state.h
@@ -32,6 +32,7 @@
   std::uint32_t losses = 0;
   std::uint32_t returns = 0;  ///< in a row
   TimePoint next_send{};
+  TimePoint wait_until{};  ///< before the next attempt
 };
 
 /// \brief A job and its tasks; the tasks go once all have ended.
--- a/pistachio/process/tasks/queue_tasks.cc
+++ b/pistachio/process/tasks/queue_tasks.cc
@@ -52,6 +52,8 @@
                                std::uint64_t serial) {
   QueueTask& task = job.tasks[index];
   task.stage = QueueStage::kAssigned;
+  // Read back from the ledger, the assignment may come before its wait is over.
+  this->delayed.erase({task.wait_until, {job.spec.job, index}});
   ++task.attempt;
   task.rack = rack;
   task.serial = serial;
@@ -102,7 +104,8 @@
     return;
   }
   const Duration delay = kFirstDelay * (1U << std::min(tries - 1, kMaxDelayDoublings));
-  this->delayed.emplace(this->now + delay, TaskId{job.spec.job, index});
+  task.wait_until = this->now + delay;
+  this->delayed.emplace(task.wait_until, TaskId{job.spec.job, index});
 }
 
 void JobQueue::Settle(QueueJob& job, std::uint32_t index, QueueStage stage) {
--- a/tests/tasks/messages_test.cc
+++ b/tests/tasks/messages_test.cc
@@ -158,5 +158,46 @@
   CHECK(queue.jobs().front().finished == 0);
 }
 
+TEST_CASE("a task that was returned several times is assigned once after a takeover",
+          "[messages]") {
+  TimePoint now(std::chrono::hours(1));
+  std::vector<std::string> records;
+  const auto handle = [&](JobQueue& queue, const QueueEvent& event) {
+    auto actions = queue.Handle(event, now);
+    for (const QueueAction& action : actions) {
+      if (const auto* append = std::get_if<AppendRecord>(&action)) {
+        records.push_back(append->record);
+      }
+    }
+    queue.Handle(RecordsCommitted{queue.last_sequence()}, now);
+    return actions;
+  };
+  const RoomReported room{{RackId("r1"), {{4000, 9000, 0}}, {{4000, 9000, 0}}, {}}};
+  JobQueue first(kQueueId, {});
+  handle(first, RackRecovered{1, {}, {}, 1});
+  handle(first, ActUntilChanged{now + std::chrono::hours(1)});
+  handle(first, JobSubmitted{BatchJob("audit", 1, seconds(5), 1000)});
+  for (AttemptNumber attempt = 1; attempt <= 3; ++attempt) {
+    handle(first, room);
+    AttemptEnd end;
+    end.task = kTask;
+    end.attempt = attempt;
+    end.outcome = AttemptOutcome::kReturned;
+    handle(first, EndReceived{end});
+    if (attempt < 3) {
+      now += seconds(40);
+      handle(first, QueueTick{});
+    }
+  }
+  JobQueue second(kQueueId, {});
+  const std::vector<std::string> ledger = records;
+  handle(second, RackRecovered{2, {}, ledger, first.last_sequence() + 1});
+  handle(second, ActUntilChanged{now + std::chrono::hours(1)});
+  now += seconds(40);
+  handle(second, QueueTick{});
+  CHECK(Count<AppendRecord>(handle(second, room)) == 1);
+  CHECK(second.jobs().front().assigned == 1);
+}
+
 }  // namespace
 }  // namespace pistachio::testing
