--- /dev/null
+++ b/pistachio/connection/platform/http_client.cc
@@ -0,0 +1,244 @@
+#include "pistachio/connection/platform/http_client.h"
+
+#include <curl/curl.h>
+
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace pistachio {
+
+namespace internal {
+
+/// One call in flight. It lives in the client's map from submission to its callback.
+struct Transfer {
+  HttpCall call;
+  HttpClient::Callback callback;
+  HttpResult result;
+  curl_slist* headers = nullptr;
+  bool too_large = false;
+};
+
+size_t CollectBody(char* data, size_t size, size_t count, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  const size_t bytes = size * count;
+  if (transfer->result.body.size() + bytes > transfer->call.max_answer_bytes) {
+    transfer->too_large = true;
+    return 0;
+  }
+  transfer->result.body.append(data, bytes);
+  return bytes;
+}
+
+void SetMethodAndBody(CURL* easy, const HttpCall& call) {
+  if (call.method == "GET") {
+    return;
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+}
+
+void SetHeaders(CURL* easy, Transfer& transfer) {
+  // An `Expect: 100-continue` would add a round trip to every larger body.
+  transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+  for (const auto& [name, value] : transfer.call.headers) {
+    transfer.headers = curl_slist_append(transfer.headers, (name + ": " + value).c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+}
+
+CURL* MakeEasy(Transfer& transfer) {
+  CURL* easy = curl_easy_init();
+  const auto timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(transfer.call.timeout).count();
+  curl_easy_setopt(easy, CURLOPT_URL, transfer.call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout > 0 ? timeout : 1);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, CollectBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  SetMethodAndBody(easy, transfer.call);
+  SetHeaders(easy, transfer);
+  if (transfer.call.send_once) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  return easy;
+}
+
+/// Only a connection that was never made proves that nothing was sent.
+bool NothingSent(CURL* easy, CURLcode code, const HttpCall& call) {
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+      code == CURLE_URL_MALFORMAT) {
+    return true;
+  }
+  if (code != CURLE_OPERATION_TIMEDOUT || !call.send_once) {
+    return false;
+  }
+  curl_off_t connect_time = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
+  return connect_time == 0;
+}
+
+void FillResult(CURL* easy, CURLcode code, Transfer& transfer) {
+  if (code == CURLE_OK) {
+    long status = 0;  // NOLINT(google-runtime-int)
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    transfer.result.status = static_cast<int>(status);
+    return;
+  }
+  const bool nothing_sent = NothingSent(easy, code, transfer.call);
+  transfer.result.failure = nothing_sent ? HttpFailure::kNotSent : HttpFailure::kMaybeSent;
+  transfer.result.reason = transfer.too_large ? "answer too large" : curl_easy_strerror(code);
+  transfer.result.body.clear();
+}
+
+}  // namespace internal
+
+struct HttpClient::State {
+  CURLM* multi = nullptr;
+  std::mutex mutex;
+  bool stopping = false;
+  std::vector<internal::Transfer> submitted;
+  // Touched by the client's thread only.
+  std::unordered_map<CURL*, internal::Transfer> in_flight;
+  std::thread thread;
+
+  void Run();
+  bool TakeSubmitted();
+  void Start(internal::Transfer&& transfer);
+  void FinishDone();
+  void Finish(CURL* easy, CURLcode code);
+  void FailAll();
+};
+
+void HttpClient::State::Start(internal::Transfer&& transfer) {
+  // The map node keeps its address, so libcurl may point into it. It is keyed by the handle, which
+  // exists only once the transfer stands still.
+  internal::Transfer standing = std::move(transfer);
+  CURL* placeholder = curl_easy_init();
+  internal::Transfer& held =
+      this->in_flight.emplace(placeholder, std::move(standing)).first->second;
+  CURL* easy = internal::MakeEasy(held);
+  auto node = this->in_flight.extract(placeholder);
+  node.key() = easy;
+  this->in_flight.insert(std::move(node));
+  curl_easy_cleanup(placeholder);
+  curl_multi_add_handle(this->multi, easy);
+}
+
+bool HttpClient::State::TakeSubmitted() {
+  std::vector<internal::Transfer> taken;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->stopping) {
+      return false;
+    }
+    taken.swap(this->submitted);
+  }
+  for (internal::Transfer& transfer : taken) {
+    this->Start(std::move(transfer));
+  }
+  return true;
+}
+
+void HttpClient::State::Finish(CURL* easy, CURLcode code) {
+  internal::Transfer& transfer = this->in_flight.at(easy);
+  internal::FillResult(easy, code, transfer);
+  const HttpResult result = std::move(transfer.result);
+  const Callback callback = std::move(transfer.callback);
+  curl_multi_remove_handle(this->multi, easy);
+  curl_slist_free_all(transfer.headers);
+  this->in_flight.erase(easy);
+  curl_easy_cleanup(easy);
+  callback(result);
+}
+
+void HttpClient::State::FinishDone() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      this->Finish(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+void HttpClient::State::FailAll() {
+  while (!this->in_flight.empty()) {
+    this->Finish(this->in_flight.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+  }
+  std::vector<internal::Transfer> never_sent;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    never_sent.swap(this->submitted);
+  }
+  for (internal::Transfer& transfer : never_sent) {
+    transfer.callback(HttpResult{HttpFailure::kNotSent, "client stopped", 0, ""});
+  }
+}
+
+void HttpClient::State::Run() {
+  constexpr int kPollMillis = 1000;
+  while (this->TakeSubmitted()) {
+    int running = 0;
+    curl_multi_perform(this->multi, &running);
+    this->FinishDone();
+    curl_multi_poll(this->multi, nullptr, 0, kPollMillis, nullptr);
+  }
+  this->FailAll();
+}
+
+HttpClient::HttpClient(long max_connections_per_host)  // NOLINT(google-runtime-int)
+    : state(std::make_unique<State>()) {
+  static std::once_flag initialised;
+  std::call_once(initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+  this->state->multi = curl_multi_init();
+  curl_multi_setopt(this->state->multi, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_host);
+  this->state->thread = std::thread([this] { this->state->Run(); });
+}
+
+HttpClient::~HttpClient() {
+  this->Stop();
+  curl_multi_cleanup(this->state->multi);
+}
+
+void HttpClient::Send(const HttpCall& call, Callback callback) {
+  internal::Transfer transfer;
+  transfer.call = call;
+  transfer.callback = std::move(callback);
+  {
+    const std::lock_guard<std::mutex> lock(this->state->mutex);
+    if (!this->state->stopping) {
+      this->state->submitted.push_back(std::move(transfer));
+    }
+  }
+  if (transfer.callback) {
+    transfer.callback(HttpResult{HttpFailure::kNotSent, "client stopped", 0, ""});
+    return;
+  }
+  curl_multi_wakeup(this->state->multi);
+}
+
+HttpResult HttpClient::SendAndWait(const HttpCall& call) {
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  std::future<HttpResult> answer = promise->get_future();
+  this->Send(call, [promise](const HttpResult& result) { promise->set_value(result); });
+  return answer.get();
+}
+
+void HttpClient::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->stopping = true;
+  }
+  curl_multi_wakeup(this->state->multi);
+  if (this->state->thread.joinable()) {
+    this->state->thread.join();
+  }
+}
+
+}  // namespace pistachio
--- /dev/null
+++ b/tests/platform/http_exchange_test.cc
@@ -0,0 +1,183 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "pistachio/connection/platform.h"
+
+namespace pistachio {
+namespace {
+
+/// A server that accepts, reads and closes without an answer, as a target that dies does.
+class ClosingServer {
+ public:
+  ClosingServer() {
+    this->listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    constexpr int kBacklog = 16;
+    listen(this->listener, kBacklog);
+    socklen_t length = sizeof(address);
+    getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+    this->port = ntohs(address.sin_port);
+    this->thread = std::thread([this] { this->Run(); });
+  }
+  ~ClosingServer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port) + "/"; }
+  int requests() const { return this->received.load(); }
+
+ private:
+  /// Answers the first request of a connection and closes at the second one, without a word.
+  void Run() {
+    for (int accepted = accept(this->listener, nullptr, nullptr); accepted >= 0;
+         accepted = accept(this->listener, nullptr, nullptr)) {
+      char buffer[4096];
+      if (read(accepted, buffer, sizeof(buffer)) > 0) {
+        this->received++;
+        const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        if (this->received == 1) {
+          (void)!write(accepted, answer, sizeof(answer) - 1);
+          if (read(accepted, buffer, sizeof(buffer)) > 0) {
+            this->received++;
+          }
+        }
+      }
+      close(accepted);
+    }
+  }
+
+  int listener = -1;
+  std::uint16_t port = 0;
+  std::atomic<int> received{0};
+  std::thread thread;
+};
+
+TEST_CASE("an answer may come later and from another thread", "[http]") {
+  HttpServer* running = nullptr;
+  std::thread answering;
+  HttpServer server(HttpServerLimits{}, [&](const ServedRequest& request) {
+    answering = std::thread([&running, request] {
+      ServedAnswer answer;
+      answer.body = request.body + "/" + request.Header("x-test") + "/" + request.Query("q");
+      running->Answer(request.exchange, answer);
+    });
+  });
+  running = &server;
+  const auto address = server.Listen(ListenAddress{});
+  REQUIRE(address);
+  HttpClient client;
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + address->str() + "/path?q=7";
+  call.headers = {{"X-Test", "header"}};
+  call.body = "body";
+  const HttpResult result = client.SendAndWait(call);
+  answering.join();
+  REQUIRE(result.answered());
+  REQUIRE(result.body == "body/header/7");
+}
+
+TEST_CASE("a second answer to an exchange is dropped", "[http]") {
+  std::atomic<int> taken{0};
+  HttpServer* running = nullptr;
+  HttpServer server(HttpServerLimits{}, [&](const ServedRequest& request) {
+    ServedAnswer answer;
+    answer.body = "first";
+    taken += running->Answer(request.exchange, answer) ? 1 : 0;
+    answer.body = "second";
+    taken += running->Answer(request.exchange, answer) ? 1 : 0;
+  });
+  running = &server;
+  const auto address = server.Listen(ListenAddress{});
+  HttpClient client;
+  HttpCall call;
+  call.url = "http://" + address->str() + "/";
+  REQUIRE(client.SendAndWait(call).body == "first");
+  REQUIRE(taken == 1);
+}
+
+TEST_CASE("a body over the bound is refused and the next request is served", "[http]") {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 1000;
+  HttpServer* running = nullptr;
+  HttpServer server(limits, [&](const ServedRequest& request) {
+    running->Answer(request.exchange, ServedAnswer{});
+  });
+  running = &server;
+  const auto address = server.Listen(ListenAddress{});
+  HttpClient client;
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + address->str() + "/";
+  call.body = std::string(100000, 'x');
+  REQUIRE(client.SendAndWait(call).status == 413);
+  call.body = "small";
+  REQUIRE(client.SendAndWait(call).status == 200);
+}
+
+TEST_CASE("a refused connection is known as not sent", "[http]") {
+  HttpClient client;
+  HttpCall call;
+  {
+    HttpServer server(HttpServerLimits{}, [](const ServedRequest& /*request*/) {});
+    call.url = "http://" + server.Listen(ListenAddress{})->str() + "/";
+  }
+  const HttpResult result = client.SendAndWait(call);
+  REQUIRE(result.failure == HttpFailure::kNotSent);
+}
+
+TEST_CASE("a request that must be sent once is not sent again when its connection closes",
+          "[http]") {
+  ClosingServer server;
+  HttpClient client;
+  HttpCall call;
+  call.method = "POST";
+  call.url = server.url();
+  call.body = "callout";
+  REQUIRE(client.SendAndWait(call).body == "ok");
+  call.send_once = true;
+  const HttpResult result = client.SendAndWait(call);
+  REQUIRE(result.failure == HttpFailure::kMaybeSent);
+  REQUIRE(server.requests() == 2);
+}
+
+TEST_CASE("an answer over the bound is a failure, never a short answer", "[http]") {
+  HttpServer* running = nullptr;
+  HttpServer server(HttpServerLimits{}, [&](const ServedRequest& request) {
+    ServedAnswer answer;
+    answer.body = std::string(5000, 'y');
+    running->Answer(request.exchange, answer);
+  });
+  running = &server;
+  HttpCall call;
+  call.url = "http://" + server.Listen(ListenAddress{})->str() + "/";
+  call.max_answer_bytes = 4999;
+  HttpClient client;
+  const HttpResult result = client.SendAndWait(call);
+  REQUIRE(result.failure == HttpFailure::kMaybeSent);
+  REQUIRE(result.body.empty());
+}
+
+TEST_CASE("a listen address is an IPv4 number and a port", "[http]") {
+  REQUIRE(ParseListenAddress("127.0.0.1:80")->port == 80);
+  for (const char* bad : {"", "localhost:1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000",
+                          "127.0.0.1:-1", "127.0.0.1:1x"}) {
+    REQUIRE_FALSE(ParseListenAddress(bad));
+  }
+}
+
+}  // namespace
+}  // namespace pistachio
