--- a/pistachio/connection/codec/json_support.cc
+++ b/pistachio/connection/codec/json_support.cc
@@ -18,9 +18,7 @@
   bool boolean(bool /*value*/) { return true; }
   bool number_integer(json::number_integer_t /*value*/) { return true; }
   bool number_unsigned(json::number_unsigned_t /*value*/) { return true; }
-  bool number_float(json::number_float_t /*value*/, const json::string_t& /*text*/) {
-    return true;
-  }
+  bool number_float(json::number_float_t /*value*/, const json::string_t& /*text*/) { return true; }
   bool string(json::string_t& /*value*/) { return true; }
   bool binary(json::binary_t& /*value*/) { return true; }
   bool key(json::string_t& /*value*/) { return true; }
--- /dev/null
+++ b/pistachio/connection/peer/messages.cc
@@ -0,0 +1,274 @@
+#include "pistachio/connection/peer/messages.h"
+
+#include "pistachio/connection/codec/task_json.h"
+
+namespace pistachio {
+
+using nlohmann::json;
+
+// The fields of each message. Bodies are bytes, everything else is text, numbers and lists.
+
+void to_json(json& out, const Outcome& outcome) {
+  out = {{"kind", static_cast<int>(outcome.kind)},
+         {"reason", outcome.reason},
+         {"retry_after", outcome.retry_after}};
+}
+
+void from_json(const json& in, Outcome& outcome) {
+  outcome.kind = internal::ReadEnum(in.at("kind"), OutcomeKind::kDeadlinePassed);
+  in.at("reason").get_to(outcome.reason);
+  in.at("retry_after").get_to(outcome.retry_after);
+}
+
+namespace internal {
+
+json WriteBytes(const std::string& bytes) {
+  return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string ReadBytes(const json& in) {
+  const auto& bytes = in.get_ref<const json::binary_t&>();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+}  // namespace internal
+
+void to_json(json& out, const MemberId& message) {
+  out = json::object({{"host", message.host}, {"incarnation", message.incarnation}});
+}
+
+void from_json(const json& in, MemberId& message) {
+  in.at("host").get_to(message.host);
+  in.at("incarnation").get_to(message.incarnation);
+}
+
+void to_json(json& out, const Heartbeat& message) {
+  out = json::object({{"from", message.from},
+                      {"sequence", message.sequence},
+                      {"roster_version", message.roster_version},
+                      {"leaving", message.leaving}});
+}
+
+void from_json(const json& in, Heartbeat& message) {
+  in.at("from").get_to(message.from);
+  in.at("sequence").get_to(message.sequence);
+  in.at("roster_version").get_to(message.roster_version);
+  in.at("leaving").get_to(message.leaving);
+}
+
+void to_json(json& out, const VouchRequest& message) {
+  out = json::object({{"holder", message.holder}, {"sequence", message.sequence}});
+}
+
+void from_json(const json& in, VouchRequest& message) {
+  in.at("holder").get_to(message.holder);
+  in.at("sequence").get_to(message.sequence);
+}
+
+void to_json(json& out, const VouchPromise& message) {
+  out = json::object({{"voucher", message.voucher},
+                      {"holder", message.holder},
+                      {"sequence", message.sequence},
+                      {"valid_for", message.valid_for}});
+}
+
+void from_json(const json& in, VouchPromise& message) {
+  in.at("voucher").get_to(message.voucher);
+  in.at("holder").get_to(message.holder);
+  in.at("sequence").get_to(message.sequence);
+  in.at("valid_for").get_to(message.valid_for);
+}
+
+void to_json(json& out, const PeerAssignment& message) {
+  out = json::object({{"assignment", message.assignment}});
+}
+
+void from_json(const json& in, PeerAssignment& message) {
+  in.at("assignment").get_to(message.assignment);
+}
+
+void to_json(json& out, const PeerWithdrawal& message) {
+  out = json::object({{"rack", message.rack}, {"withdrawal", message.withdrawal}});
+}
+
+void from_json(const json& in, PeerWithdrawal& message) {
+  in.at("rack").get_to(message.rack);
+  in.at("withdrawal").get_to(message.withdrawal);
+}
+
+void to_json(json& out, const PeerEndAcknowledged& message) {
+  out =
+      json::object({{"rack", message.rack}, {"task", message.task}, {"attempt", message.attempt}});
+}
+
+void from_json(const json& in, PeerEndAcknowledged& message) {
+  in.at("rack").get_to(message.rack);
+  in.at("task").get_to(message.task);
+  in.at("attempt").get_to(message.attempt);
+}
+
+void to_json(json& out, const PeerConfirmation& message) {
+  out = json::object(
+      {{"queue", message.queue}, {"task", message.task}, {"attempt", message.attempt}});
+}
+
+void from_json(const json& in, PeerConfirmation& message) {
+  in.at("queue").get_to(message.queue);
+  in.at("task").get_to(message.task);
+  in.at("attempt").get_to(message.attempt);
+}
+
+void to_json(json& out, const PeerEnd& message) {
+  out = json::object({{"queue", message.queue}, {"end", message.end}});
+}
+
+void from_json(const json& in, PeerEnd& message) {
+  in.at("queue").get_to(message.queue);
+  in.at("end").get_to(message.end);
+}
+
+void to_json(json& out, const PeerRoom& message) { out = json::object({{"room", message.room}}); }
+
+void from_json(const json& in, PeerRoom& message) { in.at("room").get_to(message.room); }
+
+void to_json(json& out, const RackServiceTargets& message) {
+  out = json::object({{"service", message.service}, {"targets", message.targets}});
+}
+
+void from_json(const json& in, RackServiceTargets& message) {
+  in.at("service").get_to(message.service);
+  in.at("targets").get_to(message.targets);
+}
+
+void to_json(json& out, const PeerRoutes& message) {
+  out = json::object({{"rack", message.rack},
+                      {"epoch", message.epoch},
+                      {"version", message.version},
+                      {"services", message.services}});
+}
+
+void from_json(const json& in, PeerRoutes& message) {
+  in.at("rack").get_to(message.rack);
+  in.at("epoch").get_to(message.epoch);
+  in.at("version").get_to(message.version);
+  in.at("services").get_to(message.services);
+}
+
+void to_json(json& out, const PeerCentreServices& message) {
+  out = json::object({{"data_centre", message.data_centre}, {"services", message.services}});
+}
+
+void from_json(const json& in, PeerCentreServices& message) {
+  in.at("data_centre").get_to(message.data_centre);
+  in.at("services").get_to(message.services);
+}
+
+void to_json(json& out, const RequestId& message) {
+  out = json::object(
+      {{"data_centre", message.data_centre}, {"home", message.home}, {"number", message.number}});
+}
+
+void from_json(const json& in, RequestId& message) {
+  in.at("data_centre").get_to(message.data_centre);
+  in.at("home").get_to(message.home);
+  in.at("number").get_to(message.number);
+}
+
+void to_json(json& out, const PeerForward& message) {
+  out = json::object({{"forward", message.forward},
+                      {"id", message.id},
+                      {"caller", message.caller},
+                      {"service", message.service},
+                      {"time_left", message.time_left},
+                      {"idempotent", message.idempotent},
+                      {"body", internal::WriteBytes(message.body)}});
+}
+
+void from_json(const json& in, PeerForward& message) {
+  in.at("forward").get_to(message.forward);
+  in.at("id").get_to(message.id);
+  in.at("caller").get_to(message.caller);
+  in.at("service").get_to(message.service);
+  in.at("time_left").get_to(message.time_left);
+  in.at("idempotent").get_to(message.idempotent);
+  message.body = internal::ReadBytes(in.at("body"));
+}
+
+void to_json(json& out, const PeerForwardAnswer& message) {
+  out = json::object({{"forward", message.forward},
+                      {"outcome", message.outcome},
+                      {"status", message.status},
+                      {"body", internal::WriteBytes(message.body)}});
+}
+
+void from_json(const json& in, PeerForwardAnswer& message) {
+  in.at("forward").get_to(message.forward);
+  in.at("outcome").get_to(message.outcome);
+  in.at("status").get_to(message.status);
+  message.body = internal::ReadBytes(in.at("body"));
+}
+
+void to_json(json& out, const PeerOperatorCall& message) {
+  out = json::object({{"call", message.call},
+                      {"method", message.method},
+                      {"path", message.path},
+                      {"body", internal::WriteBytes(message.body)}});
+}
+
+void from_json(const json& in, PeerOperatorCall& message) {
+  in.at("call").get_to(message.call);
+  in.at("method").get_to(message.method);
+  in.at("path").get_to(message.path);
+  message.body = internal::ReadBytes(in.at("body"));
+}
+
+void to_json(json& out, const PeerOperatorAnswer& message) {
+  out = json::object({{"call", message.call},
+                      {"status", message.status},
+                      {"body", internal::WriteBytes(message.body)}});
+}
+
+void from_json(const json& in, PeerOperatorAnswer& message) {
+  in.at("call").get_to(message.call);
+  in.at("status").get_to(message.status);
+  message.body = internal::ReadBytes(in.at("body"));
+}
+
+namespace internal {
+
+/// Reads the alternative whose place in the variant is \a type.
+template <std::size_t Place = 0>
+std::optional<PeerMessage> ReadAlternative(std::size_t type, const json& body) {
+  if constexpr (Place < std::variant_size_v<PeerMessage>) {
+    if (type != Place) {
+      return ReadAlternative<Place + 1>(type, body);
+    }
+    auto message = FromJson<std::variant_alternative_t<Place, PeerMessage>>(body);
+    return message ? std::optional<PeerMessage>(std::move(*message)) : std::nullopt;
+  } else {
+    return std::nullopt;
+  }
+}
+
+}  // namespace internal
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  json envelope = json::array({message.index()});
+  std::visit([&envelope](const auto& typed) { envelope.push_back(typed); }, message);
+  return kPeerProtocolVersion + WriteCbor(envelope);
+}
+
+std::optional<PeerMessage> DecodePeerMessage(const std::string& bytes) {
+  if (bytes.empty() || bytes.front() != kPeerProtocolVersion) {
+    return std::nullopt;
+  }
+  const auto envelope = ReadCbor(bytes.substr(1));
+  constexpr std::size_t kLeastFields = 2;
+  if (!envelope || !envelope->is_array() || envelope->size() < kLeastFields ||
+      !envelope->at(0).is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return internal::ReadAlternative(envelope->at(0).get<std::size_t>(), envelope->at(1));
+}
+
+}  // namespace pistachio
