--- a/pistachio/connection/codec/task_json.cc
+++ b/pistachio/connection/codec/task_json.cc
@@ -141,7 +141,9 @@
   out = {{"task", assignment.task},          {"attempt", assignment.attempt},
          {"queue", assignment.queue},        {"rack", assignment.rack},
          {"spec", assignment.spec},          {"checkpoint", assignment.checkpoint},
-         {"avoid", assignment.avoid_targets}};
+         {"avoid", assignment.avoid_targets},
+         {"serial", assignment.serial},
+         {"settled_below", assignment.settled_below}};
 }
 
 void from_json(const json& in, TaskAssignment& assignment) {
@@ -152,6 +154,8 @@
   in.at("spec").get_to(assignment.spec);
   in.at("checkpoint").get_to(assignment.checkpoint);
   in.at("avoid").get_to(assignment.avoid_targets);
+  in.at("serial").get_to(assignment.serial);
+  in.at("settled_below").get_to(assignment.settled_below);
 }
 
 void to_json(json& out, const AttemptEnd& end) {
@@ -160,7 +164,9 @@
          {"outcome", static_cast<int>(end.outcome)},
          {"checkpoint", end.checkpoint},
          {"target", end.target},
-         {"reason", end.reason}};
+         {"reason", end.reason},
+         {"rack", end.rack},
+         {"serial", end.serial}};
 }
 
 void from_json(const json& in, AttemptEnd& end) {
@@ -170,6 +176,8 @@
   in.at("checkpoint").get_to(end.checkpoint);
   in.at("target").get_to(end.target);
   in.at("reason").get_to(end.reason);
+  in.at("rack").get_to(end.rack);
+  in.at("serial").get_to(end.serial);
 }
 
 void to_json(json& out, const RackRoom& room) {
@@ -190,7 +198,9 @@
   out = {{"task", withdrawal.task},
          {"attempt", withdrawal.attempt},
          {"cancelled", withdrawal.cancelled},
-         {"queue", withdrawal.queue}};
+         {"queue", withdrawal.queue},
+         {"serial", withdrawal.serial},
+         {"settled_below", withdrawal.settled_below}};
 }
 
 void from_json(const json& in, WithdrawalReceived& withdrawal) {
@@ -198,6 +208,22 @@
   in.at("attempt").get_to(withdrawal.attempt);
   in.at("cancelled").get_to(withdrawal.cancelled);
   in.at("queue").get_to(withdrawal.queue);
+  in.at("serial").get_to(withdrawal.serial);
+  in.at("settled_below").get_to(withdrawal.settled_below);
+}
+
+void to_json(json& out, const EndAcknowledged& acknowledged) {
+  out = {{"task", acknowledged.task},
+         {"attempt", acknowledged.attempt},
+         {"queue", acknowledged.queue},
+         {"settled_below", acknowledged.settled_below}};
+}
+
+void from_json(const json& in, EndAcknowledged& acknowledged) {
+  in.at("task").get_to(acknowledged.task);
+  in.at("attempt").get_to(acknowledged.attempt);
+  in.at("queue").get_to(acknowledged.queue);
+  in.at("settled_below").get_to(acknowledged.settled_below);
 }
 
 void to_json(json& out, const FencedCommand& command) {
--- a/pistachio/connection/codec/task_json.h
+++ b/pistachio/connection/codec/task_json.h
@@ -30,6 +30,8 @@
 void from_json(const nlohmann::json& in, RackRoom& room);
 void to_json(nlohmann::json& out, const WithdrawalReceived& withdrawal);
 void from_json(const nlohmann::json& in, WithdrawalReceived& withdrawal);
+void to_json(nlohmann::json& out, const EndAcknowledged& acknowledged);
+void from_json(const nlohmann::json& in, EndAcknowledged& acknowledged);
 void to_json(nlohmann::json& out, const FencedCommand& command);
 void from_json(const nlohmann::json& in, FencedCommand& command);
 void to_json(nlohmann::json& out, const TargetTask& task);
--- a/pistachio/connection/peer/messages.cc
+++ b/pistachio/connection/peer/messages.cc
@@ -79,6 +79,15 @@
   in.at("valid_for").get_to(message.valid_for);
 }
 
+void to_json(json& out, const UnitMoved& message) { out = json::object({{"from", message.from}, {"unit", message.unit}, {"owner", message.owner}, {"epoch", message.epoch}}); }
+
+void from_json(const json& in, UnitMoved& message) {
+  in.at("from").get_to(message.from);
+  in.at("unit").get_to(message.unit);
+  in.at("owner").get_to(message.owner);
+  in.at("epoch").get_to(message.epoch);
+}
+
 void to_json(json& out, const PeerAssignment& message) {
   out = json::object({{"assignment", message.assignment}});
 }
@@ -96,15 +105,11 @@
   in.at("withdrawal").get_to(message.withdrawal);
 }
 
-void to_json(json& out, const PeerEndAcknowledged& message) {
-  out =
-      json::object({{"rack", message.rack}, {"task", message.task}, {"attempt", message.attempt}});
-}
+void to_json(json& out, const PeerEndAcknowledged& message) { out = json::object({{"rack", message.rack}, {"acknowledged", message.acknowledged}}); }
 
 void from_json(const json& in, PeerEndAcknowledged& message) {
   in.at("rack").get_to(message.rack);
-  in.at("task").get_to(message.task);
-  in.at("attempt").get_to(message.attempt);
+  in.at("acknowledged").get_to(message.acknowledged);
 }
 
 void to_json(json& out, const PeerConfirmation& message) {
@@ -174,18 +179,24 @@
   in.at("number").get_to(message.number);
 }
 
-void to_json(json& out, const PeerForward& message) {
-  out = json::object({{"forward", message.forward},
-                      {"id", message.id},
-                      {"caller", message.caller},
-                      {"service", message.service},
-                      {"time_left", message.time_left},
-                      {"idempotent", message.idempotent},
-                      {"body", internal::WriteBytes(message.body)}});
+void to_json(json& out, const Standings& message) { out = json::object({{"version", message.version}, {"drained", message.drained}}); }
+
+void from_json(const json& in, Standings& message) {
+  in.at("version").get_to(message.version);
+  in.at("drained").get_to(message.drained);
+}
+
+void to_json(json& out, const PeerStandings& message) { out = json::object({{"standings", message.standings}}); }
+
+void from_json(const json& in, PeerStandings& message) {
+  in.at("standings").get_to(message.standings);
 }
 
+void to_json(json& out, const PeerForward& message) { out = json::object({{"forward", message.forward}, {"is_attempt", message.is_attempt}, {"id", message.id}, {"caller", message.caller}, {"service", message.service}, {"time_left", message.time_left}, {"idempotent", message.idempotent}, {"body", internal::WriteBytes(message.body)}}); }
+
 void from_json(const json& in, PeerForward& message) {
   in.at("forward").get_to(message.forward);
+  in.at("is_attempt").get_to(message.is_attempt);
   in.at("id").get_to(message.id);
   in.at("caller").get_to(message.caller);
   in.at("service").get_to(message.service);
@@ -236,26 +247,44 @@
 
 namespace internal {
 
-/// Reads the alternative whose place in the variant is \a type.
-template <std::size_t Place = 0>
+/// Reads the alternative of \a Family whose place in it is \a type.
+template <class Family, std::size_t Place = 0>
 std::optional<PeerMessage> ReadAlternative(std::size_t type, const json& body) {
-  if constexpr (Place < std::variant_size_v<PeerMessage>) {
+  if constexpr (Place < std::variant_size_v<Family>) {
     if (type != Place) {
-      return ReadAlternative<Place + 1>(type, body);
+      return ReadAlternative<Family, Place + 1>(type, body);
     }
-    auto message = FromJson<std::variant_alternative_t<Place, PeerMessage>>(body);
-    return message ? std::optional<PeerMessage>(std::move(*message)) : std::nullopt;
+    auto message = FromJson<std::variant_alternative_t<Place, Family>>(body);
+    return message ? std::optional<PeerMessage>(Family(std::move(*message))) : std::nullopt;
   } else {
     return std::nullopt;
   }
 }
 
+std::optional<PeerMessage> ReadFamily(std::size_t family, std::size_t type, const json& body) {
+  if (family == 0) {
+    return ReadAlternative<ControlMessage>(type, body);
+  }
+  return family == 1 ? ReadAlternative<TrafficMessage>(type, body) : std::nullopt;
+}
+
+struct EnvelopeWriter {
+  json envelope = json::array();
+
+  template <class Family>
+  void operator()(const Family& family) {
+    this->envelope.push_back(family.index());
+    std::visit([this](const auto& message) { this->envelope.push_back(message); }, family);
+  }
+};
+
 }  // namespace internal
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  json envelope = json::array({message.index()});
-  std::visit([&envelope](const auto& typed) { envelope.push_back(typed); }, message);
-  return kPeerProtocolVersion + WriteCbor(envelope);
+  internal::EnvelopeWriter writer;
+  writer.envelope.push_back(message.index());
+  std::visit(writer, message);
+  return kPeerProtocolVersion + WriteCbor(writer.envelope);
 }
 
 std::optional<PeerMessage> DecodePeerMessage(const std::string& bytes) {
@@ -263,12 +292,13 @@
     return std::nullopt;
   }
   const auto envelope = ReadCbor(bytes.substr(1));
-  constexpr std::size_t kLeastFields = 2;
+  constexpr std::size_t kLeastFields = 3;
   if (!envelope || !envelope->is_array() || envelope->size() < kLeastFields ||
-      !envelope->at(0).is_number_unsigned()) {
+      !envelope->at(0).is_number_unsigned() || !envelope->at(1).is_number_unsigned()) {
     return std::nullopt;
   }
-  return internal::ReadAlternative(envelope->at(0).get<std::size_t>(), envelope->at(1));
+  return internal::ReadFamily(envelope->at(0).get<std::size_t>(),
+                              envelope->at(1).get<std::size_t>(), envelope->at(2));
 }
 
 }  // namespace pistachio
--- a/pistachio/connection/peer/messages.h
+++ b/pistachio/connection/peer/messages.h
@@ -24,8 +24,7 @@
 /// \brief An acknowledgement on its way to the owner of \a rack.
 struct PeerEndAcknowledged {
   RackId rack;
-  TaskId task;
-  AttemptNumber attempt = 1;
+  EndAcknowledged acknowledged;
 };
 /// \brief A confirmation on its way to the owner of \a queue.
 struct PeerConfirmation {
@@ -61,9 +60,21 @@
   std::vector<ServiceId> services;
 };
 
+/// \brief The targets that operators drained, as one versioned record of the data centre.
+struct Standings {
+  std::uint64_t version = 0;  ///< of the record in the key-value service; only grows
+  std::vector<TargetId> drained;
+};
+/// \brief The newest record of drained targets that the sender knows.
+struct PeerStandings {
+  Standings standings;
+};
+
 /// \brief A caller's request, forwarded to the home of its id or to a data centre that can run it.
 struct PeerForward {
   std::uint64_t forward = 0;  ///< names the forwarding; the answer carries it
+  /// The id's home stays with the sender: this is one attempt of it, to be run under a new id.
+  bool is_attempt = false;
   RequestId id;
   CallerId caller;
   ServiceId service;
--- a/pistachio/connection/platform/target_client.cc
+++ b/pistachio/connection/platform/target_client.cc
@@ -50,7 +50,7 @@
   return answer;
 }
 
-std::optional<HostList> HostListOf(const HttpResult& result) {
+std::optional<PlatformHosts> PlatformHostsOf(const HttpResult& result) {
   if (!result.answered() || result.status != kOk) {
     return std::nullopt;
   }
@@ -58,7 +58,7 @@
   if (!json) {
     return std::nullopt;
   }
-  HostList list;
+  PlatformHosts list;
   try {
     json->at("targets").get_to(list.targets);
     json->at("entry_hosts").get_to(list.entry_hosts);
@@ -103,12 +103,12 @@
   });
 }
 
-void FetchHostList(HttpClient& client, const std::string& url,
-                   std::function<void(const std::optional<HostList>&)> callback) {
+void FetchPlatformHosts(HttpClient& client, const std::string& url,
+                   std::function<void(const std::optional<PlatformHosts>&)> callback) {
   HttpCall call;
   call.url = url + "/v1/hosts";
   client.Send(call, [callback = std::move(callback)](const HttpResult& result) {
-    callback(internal::HostListOf(result));
+    callback(internal::PlatformHostsOf(result));
   });
 }
 
--- a/pistachio/connection/platform/target_client.h
+++ b/pistachio/connection/platform/target_client.h
@@ -49,13 +49,13 @@
                          std::function<void(const TargetAnswer&)> callback);
 
 /// \brief What the platform's lagging list says.
-struct HostList {
+struct PlatformHosts {
   std::vector<std::pair<HostId, DataCentreId>> entry_hosts;
   std::vector<TargetListing> targets;
 };
 
 /// \brief Reads the platform's list. \a callback gets nothing if it cannot be read.
-void FetchHostList(HttpClient& client, const std::string& url,
-                   std::function<void(const std::optional<HostList>&)> callback);
+void FetchPlatformHosts(HttpClient& client, const std::string& url,
+                   std::function<void(const std::optional<PlatformHosts>&)> callback);
 
 }  // namespace pistachio
--- a/tests/peer/message_codec_test.cc
+++ b/tests/peer/message_codec_test.cc
@@ -5,12 +5,13 @@
 namespace pistachio {
 namespace {
 
-template <class Message>
+template <class Family = ControlMessage, class Message>
 Message RoundTrip(const Message& message) {
-  const auto read = DecodePeerMessage(EncodePeerMessage(message));
+  const auto read = DecodePeerMessage(EncodePeerMessage(Family(message)));
   REQUIRE(read);
-  REQUIRE(std::holds_alternative<Message>(*read));
-  return std::get<Message>(*read);
+  const auto& family = std::get<Family>(*read);
+  REQUIRE(std::holds_alternative<Message>(family));
+  return std::get<Message>(family);
 }
 
 TEST_CASE("a heartbeat reads back as it was written", "[codec]") {
@@ -25,7 +26,7 @@
   PeerForward forward;
   forward.body = std::string("\x00\xff\x80", 3);
   forward.time_left = std::chrono::milliseconds(250);
-  const PeerForward read = RoundTrip(forward);
+  const PeerForward read = RoundTrip<TrafficMessage>(forward);
   REQUIRE(read.body == forward.body);
   REQUIRE(read.time_left == forward.time_left);
 }
@@ -41,7 +42,7 @@
 }
 
 TEST_CASE("a message of another version, cut short or with a wrong type is refused", "[codec]") {
-  const std::string good = EncodePeerMessage(VouchRequest{{HostId("a"), 1}, 2});
+  const std::string good = EncodePeerMessage(ControlMessage(VouchRequest{{HostId("a"), 1}, 2}));
   REQUIRE(DecodePeerMessage(good));
   std::string other_version = good;
   other_version[0] = 9;
@@ -50,7 +51,7 @@
     REQUIRE_FALSE(DecodePeerMessage(good.substr(0, length)));
   }
   std::string unknown_type = good;
-  unknown_type[2] = 0x17;
+  unknown_type[3] = 0x17;
   REQUIRE_FALSE(DecodePeerMessage(unknown_type));
 }
 
