--- a/pistachio/process/daemon/control_messages.cc
+++ b/pistachio/process/daemon/control_messages.cc
@@ -214,14 +214,20 @@
     }
     remote.push_back(std::move(centre));
   }
+  std::map<TargetId, std::string> addresses;
+  for (const auto& [target, listing] : this->routes.listings()) {
+    addresses[target] = listing.address;
+  }
   const bool same = internal::SameRoutes(built, this->published_routes) &&
+                    addresses == this->published_addresses &&
                     this->routes.remote_services() == this->published_remote;
   if (same) {
     return;
   }
   this->published_routes = built;
+  this->published_addresses = addresses;
   this->published_remote = this->routes.remote_services();
-  this->ports.publish_routes(built, remote);
+  this->ports.publish_routes(built, remote, addresses);
 }
 
 }  // namespace pistachio
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -166,6 +166,7 @@
   std::deque<std::pair<HostId, ControlMessage>> local;  ///< to units that this host owns
   std::vector<ServiceRoute> published_routes;
   std::map<DataCentreId, std::vector<ServiceId>> published_remote;
+  std::map<TargetId, std::string> published_addresses;
   std::map<std::uint64_t, OperatorGather> gathers;
   std::map<std::uint64_t, std::uint64_t> gather_of_call;  ///< calls to hosts, by their number
   std::map<JobId, std::vector<OperatorCaller>> submitters;
--- a/pistachio/process/daemon/control_types.h
+++ b/pistachio/process/daemon/control_types.h
@@ -2,15 +2,20 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "pistachio/connection/lease/membership.h"
 #include "pistachio/connection/peer/messages.h"
 #include "pistachio/connection/platform/target_client.h"
 #include "pistachio/connection/store/calls.h"
+#include "pistachio/process/ledger/ledger.h"
+#include "pistachio/process/policy/policy.h"
 #include "pistachio/process/runtime/event_catalogue.h"
+#include "pistachio/process/tasks/rack_controller.h"
 #include "pistachio/process/tasks/types.h"
 #include "pistachio/request/types.h"
 
@@ -91,7 +96,8 @@
       call_store;
   std::function<void(const HostId&, const ControlMessage&)> send_peer;
   std::function<void(const OutgoingCommand&)> send_command;
-  std::function<void(const std::vector<ServiceRoute>&, const std::vector<RemoteCentre>&)>
+  std::function<void(const std::vector<ServiceRoute>&, const std::vector<RemoteCentre>&,
+                     const std::map<TargetId, std::string>& addresses)>
       publish_routes;
   std::function<void(std::uint64_t call, int status, const std::string& body)> answer_operator;
   std::function<void(const EventRecord&)> report;
