Peer messages: two families, for control and for traffic

Cause: the hub's thread has to tell which thread a message is for without knowing each type. Change: PeerMessage is a variant of the two families.

--- a/pistachio/connection/peer/messages.h
+++ b/pistachio/connection/peer/messages.h
@@ -104,11 +104,17 @@
   std::string body;
 };
 
+/// \brief What is for the control state of another entry host.
+using ControlMessage =
+    std::variant<Heartbeat, VouchRequest, VouchPromise, UnitMoved, PeerAssignment, PeerWithdrawal,
+                 PeerEndAcknowledged, PeerConfirmation, PeerEnd, PeerRoom, PeerRoutes,
+                 PeerCentreServices, PeerStandings, PeerOperatorCall, PeerOperatorAnswer>;
+
+/// \brief What is for the traffic threads of another entry host.
+using TrafficMessage = std::variant<PeerForward, PeerForwardAnswer>;
+
 /// \brief Anything that one entry host tells another.
-using PeerMessage = std::variant<Heartbeat, VouchRequest, VouchPromise, PeerAssignment,
-                                 PeerWithdrawal, PeerEndAcknowledged, PeerConfirmation, PeerEnd,
-                                 PeerRoom, PeerRoutes, PeerCentreServices, PeerForward,
-                                 PeerForwardAnswer, PeerOperatorCall, PeerOperatorAnswer>;
+using PeerMessage = std::variant<ControlMessage, TrafficMessage>;
 
 /// \brief Version byte that starts every message; a receiver drops messages of another version.
 constexpr char kPeerProtocolVersion = 1;
