Daemon: an expelled member joins again as a new one

Cause: membership says nothing more once it was expelled, so a paused host would own nothing for good. Change: the control state drops its units and starts a member with a new incarnation. Conclusion: request ids keep the life of the process, whose memory of them is whole.

--- a/pistachio/process/daemon/control_state.cc
+++ b/pistachio/process/daemon/control_state.cc
@@ -23,6 +23,7 @@
   this->now = now;
   std::visit([this](const auto& typed) { this->On(typed); }, event);
   this->RunLocal();
+  this->RejoinIfExpelled();
   this->TellActUntil();
 }
 
@@ -196,6 +197,23 @@
 
 void ControlState::Do(const LeaveFinished& /*action*/) { this->ports.left(); }
 
+void ControlState::Do(const MemberExpelled& /*action*/) { this->expelled = true; }
+
+void ControlState::RejoinIfExpelled() {
+  if (!this->expelled) {
+    return;
+  }
+  this->expelled = false;
+  this->racks.clear();
+  this->queues.clear();
+  this->publications.clear();
+  // Ids of requests keep the life of the process: its memory of them is still whole.
+  this->config.self.incarnation = this->ports.new_incarnation();
+  this->membership = Membership(this->config.data_centre, this->config.self, this->config.peers,
+                                this->config.lease, this->now);
+  this->Report({EventCode::kMemberRejoining, {{"member", this->config.self.str()}}});
+}
+
 void ControlState::Do(const MemberReport& action) { this->Report(action.event); }
 
 void ControlState::TellActUntil() {
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -57,6 +57,7 @@
   void RunLocal();
   void NoteStore(StoreStatus status);
   void RefreshTargets();
+  void RejoinIfExpelled();
 
   // Membership's actions (control_state.cc).
   void FeedMembership(const MembershipEvent& event);
@@ -66,6 +67,7 @@
   void Do(const UnitDraining& action);
   void Do(const UnitLost& action);
   void Do(const LeaveFinished& action);
+  void Do(const MemberExpelled& action);
   void Do(const MemberReport& action);
 
   // Units (control_units.cc).
@@ -179,6 +181,7 @@
   TimePoint next_standings_read{};
   bool store_answers = true;
   bool stopping = false;
+  bool expelled = false;
 };
 
 }  // namespace pistachio
--- a/pistachio/process/daemon/control_types.h
+++ b/pistachio/process/daemon/control_types.h
@@ -101,6 +101,7 @@
       publish_routes;
   std::function<void(std::uint64_t call, int status, const std::string& body)> answer_operator;
   std::function<void(const EventRecord&)> report;
+  std::function<std::uint64_t()> new_incarnation;  ///< unlike any before
   std::function<void()> left;  ///< every unit is handed over and the lease released
 };
 
--- a/pistachio/process/daemon/daemon.cc
+++ b/pistachio/process/daemon/daemon.cc
@@ -106,6 +106,7 @@
     this->AnswerOperator(call, status, body);
   };
   ports.report = [](const EventRecord& event) { WriteEvent(event); };
+  ports.new_incarnation = [] { return RandomToken(); };
   ports.left = [this] {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->left = true;
--- a/pistachio/process/daemon/ledgered_unit.h
+++ b/pistachio/process/daemon/ledgered_unit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachio/connection/peer/messages.h"
 #include "pistachio/process/ledger/ledger.h"
 #include "pistachio/process/runtime/ids.h"
 #include "pistachio/process/tasks/job_queue.h"
--- a/pistachio/process/daemon/traffic_plane.h
+++ b/pistachio/process/daemon/traffic_plane.h
@@ -17,6 +17,7 @@
 #include "pistachio/process/daemon/control_types.h"
 #include "pistachio/process/daemon/traffic_metrics.h"
 #include "pistachio/request/broker.h"
+#include "pistachio/request/id_route.h"
 
 namespace pistachio {
 
@@ -38,6 +39,36 @@
   std::function<void(const EventRecord&)> report;
 };
 
+namespace internal {
+
+/// \brief A caller on this host's own port.
+struct HttpCaller {
+  ExchangeId exchange = 0;
+};
+
+/// \brief Another entry host that passed a request on.
+struct PeerCaller {
+  HostId peer;
+  std::uint64_t forward = 0;
+};
+
+/// \brief Whoever waits for an outcome.
+struct Waiter {
+  std::variant<HttpCaller, PeerCaller> caller;
+  RequestId id;
+  ServiceId service;
+  bool idempotent = false;
+  TimePoint arrived;
+};
+
+/// \brief A request that was passed to the home of its id, or an attempt passed to a data centre.
+struct PassedOn {
+  std::variant<Waiter, AttemptKey> origin;
+  TimePoint deadline;
+};
+
+}  // namespace internal
+
 /// \brief Joins the request broker to callers, targets and peers. Thread-safe.
 ///
 /// The data path waits for nothing but targets and, for an id whose home is elsewhere, that home.
@@ -67,26 +98,10 @@
   BrokerCounters counters() const;
 
  private:
-  struct HttpCaller {
-    ExchangeId exchange = 0;
-  };
-  struct PeerCaller {
-    HostId peer;
-    std::uint64_t forward = 0;
-  };
-  /// Whoever waits for an outcome.
-  struct Waiter {
-    std::variant<HttpCaller, PeerCaller> caller;
-    RequestId id;
-    ServiceId service;
-    bool idempotent = false;
-    TimePoint arrived;
-  };
-  /// A request that was passed to the home of its id, or an attempt passed to a data centre.
-  struct PassedOn {
-    std::variant<Waiter, AttemptKey> origin;
-    TimePoint deadline;
-  };
+  using HttpCaller = internal::HttpCaller;
+  using PeerCaller = internal::PeerCaller;
+  using Waiter = internal::Waiter;
+  using PassedOn = internal::PassedOn;
   struct Body {
     std::string bytes;
     std::uint32_t waiters = 0;
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -21,6 +21,7 @@
   kBadInput = 1006,
   kPeerConnected = 1007,
   kPeerLost = 1008,
+  kMemberRejoining = 1009,
 
   // 2000: membership, ownership and ledger (events/membership_events.cc)
   kRosterChanged = 2001,
--- a/pistachio/process/runtime/events/process_events.cc
+++ b/pistachio/process/runtime/events/process_events.cc
@@ -21,6 +21,8 @@
        "A connection to another entry host is open."},
       {EventCode::kPeerLost, Severity::kWarning, "peer-lost",
        "A connection to another entry host closed or went silent. Check that host if it stays so."},
+      {EventCode::kMemberRejoining, Severity::kWarning, "member-rejoining",
+       "This host was expelled while it was paused or cut off and joins again as a new member."},
   };
   return kEvents;
 }
