--- a/pistachio/connection/peer/messages.cc
+++ b/pistachio/connection/peer/messages.cc
@@ -79,7 +79,12 @@
   in.at("valid_for").get_to(message.valid_for);
 }
 
-void to_json(json& out, const UnitMoved& message) { out = json::object({{"from", message.from}, {"unit", message.unit}, {"owner", message.owner}, {"epoch", message.epoch}}); }
+void to_json(json& out, const UnitMoved& message) {
+  out = json::object({{"from", message.from},
+                      {"unit", message.unit},
+                      {"owner", message.owner},
+                      {"epoch", message.epoch}});
+}
 
 void from_json(const json& in, UnitMoved& message) {
   in.at("from").get_to(message.from);
@@ -105,7 +110,9 @@
   in.at("withdrawal").get_to(message.withdrawal);
 }
 
-void to_json(json& out, const PeerEndAcknowledged& message) { out = json::object({{"rack", message.rack}, {"acknowledged", message.acknowledged}}); }
+void to_json(json& out, const PeerEndAcknowledged& message) {
+  out = json::object({{"rack", message.rack}, {"acknowledged", message.acknowledged}});
+}
 
 void from_json(const json& in, PeerEndAcknowledged& message) {
   in.at("rack").get_to(message.rack);
@@ -179,20 +186,33 @@
   in.at("number").get_to(message.number);
 }
 
-void to_json(json& out, const Standings& message) { out = json::object({{"version", message.version}, {"drained", message.drained}}); }
+void to_json(json& out, const Standings& message) {
+  out = json::object({{"version", message.version}, {"drained", message.drained}});
+}
 
 void from_json(const json& in, Standings& message) {
   in.at("version").get_to(message.version);
   in.at("drained").get_to(message.drained);
 }
 
-void to_json(json& out, const PeerStandings& message) { out = json::object({{"standings", message.standings}}); }
+void to_json(json& out, const PeerStandings& message) {
+  out = json::object({{"standings", message.standings}});
+}
 
 void from_json(const json& in, PeerStandings& message) {
   in.at("standings").get_to(message.standings);
 }
 
-void to_json(json& out, const PeerForward& message) { out = json::object({{"forward", message.forward}, {"is_attempt", message.is_attempt}, {"id", message.id}, {"caller", message.caller}, {"service", message.service}, {"time_left", message.time_left}, {"idempotent", message.idempotent}, {"body", internal::WriteBytes(message.body)}}); }
+void to_json(json& out, const PeerForward& message) {
+  out = json::object({{"forward", message.forward},
+                      {"is_attempt", message.is_attempt},
+                      {"id", message.id},
+                      {"caller", message.caller},
+                      {"service", message.service},
+                      {"time_left", message.time_left},
+                      {"idempotent", message.idempotent},
+                      {"body", internal::WriteBytes(message.body)}});
+}
 
 void from_json(const json& in, PeerForward& message) {
   in.at("forward").get_to(message.forward);
--- a/pistachio/process/daemon/control_loop.cc
+++ b/pistachio/process/daemon/control_loop.cc
@@ -2,8 +2,8 @@
 
 namespace pistachio {
 
-ControlLoop::ControlLoop(const ControlConfig& config, const ControlPorts& ports,
-                         const Clock& clock, Duration tick_every)
+ControlLoop::ControlLoop(const ControlConfig& config, const ControlPorts& ports, const Clock& clock,
+                         Duration tick_every)
     : clock(clock), tick_every(tick_every), state(config, ports, Now(clock)) {}
 
 ControlLoop::~ControlLoop() { this->Stop(); }
--- a/pistachio/process/daemon/control_messages.cc
+++ b/pistachio/process/daemon/control_messages.cc
@@ -22,8 +22,7 @@
 
 bool SameRoutes(const std::vector<ServiceRoute>& a, const std::vector<ServiceRoute>& b) {
   const auto same_target = [](const RouteTarget& x, const RouteTarget& y) {
-    return x.target == y.target && x.rack == y.rack && x.slots == y.slots &&
-           x.leaving == y.leaving;
+    return x.target == y.target && x.rack == y.rack && x.slots == y.slots && x.leaving == y.leaving;
   };
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [&same_target](const ServiceRoute& x, const ServiceRoute& y) {
--- a/pistachio/process/daemon/control_metrics.cc
+++ b/pistachio/process/daemon/control_metrics.cc
@@ -59,8 +59,7 @@
     const std::string name = NameOf(role);
     this->store->Add({{"role", name}, {"kind", "calls"}}).Set(static_cast<double>(row.calls));
     this->store->Add({{"role", name}, {"kind", "bytes"}}).Set(static_cast<double>(row.bytes));
-    this->store->Add({{"role", name}, {"kind", "failures"}})
-        .Set(static_cast<double>(row.failures));
+    this->store->Add({{"role", name}, {"kind", "failures"}}).Set(static_cast<double>(row.failures));
   }
 }
 
--- a/pistachio/process/daemon/control_operators.cc
+++ b/pistachio/process/daemon/control_operators.cc
@@ -97,8 +97,8 @@
 
 void ControlState::AskOwner(const UnitId& unit, const OperatorCalled& event) {
   const bool own = this->queues.count(unit) != 0;
-  const auto owner = own ? std::optional<HostId>(this->config.self.host)
-                         : this->membership.OwnerOf(unit);
+  const auto owner =
+      own ? std::optional<HostId>(this->config.self.host) : this->membership.OwnerOf(unit);
   if (!owner) {
     this->ports.answer_operator(
         event.call, internal::kUnavailable,
@@ -106,8 +106,8 @@
                   "ask again in a few seconds"));
     return;
   }
-  OperatorGather gather{event.call, event.method, event.path, {}, {},
-                        this->now + internal::kGatherTimeout};
+  OperatorGather gather{event.call, event.method, event.path,
+                        {},         {},           this->now + internal::kGatherTimeout};
   const std::uint64_t call = this->next_call++;
   gather.outstanding.insert(call);
   this->gather_of_call[call] = event.call;
@@ -120,8 +120,8 @@
 }
 
 void ControlState::AskEveryHost(const OperatorCalled& event) {
-  OperatorGather gather{event.call, event.method, event.path, {}, {},
-                        this->now + internal::kGatherTimeout};
+  OperatorGather gather{event.call, event.method, event.path,
+                        {},         {},           this->now + internal::kGatherTimeout};
   std::vector<std::pair<HostId, std::uint64_t>> asked;
   for (const HostId& peer : this->config.peers) {
     const auto heard = this->last_heard.find(peer);
@@ -223,13 +223,13 @@
 
 void ControlState::ChangeStanding(std::uint64_t call, const TargetId& target,
                                   const std::string& verb) {
-  const auto known = std::any_of(
-      this->listed.begin(), this->listed.end(),
-      [&target](const TargetListing& listing) { return listing.target == target; });
+  const auto known =
+      std::any_of(this->listed.begin(), this->listed.end(),
+                  [&target](const TargetListing& listing) { return listing.target == target; });
   if (!known) {
-    this->ports.answer_operator(call, internal::kNotFound,
-                                ErrorBody("no such target in this data centre",
-                                          "see `pistachioctl target list`"));
+    this->ports.answer_operator(
+        call, internal::kNotFound,
+        ErrorBody("no such target in this data centre", "see `pistachioctl target list`"));
     return;
   }
   if (verb != "drain" && verb != "undrain") {
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -164,7 +164,7 @@
   RouteTable routes;
   StandingTable standings;
   DecisionHistory history;
-  std::vector<TargetListing> listed;  ///< as the platform has it
+  std::vector<TargetListing> listed;                    ///< as the platform has it
   std::deque<std::pair<HostId, ControlMessage>> local;  ///< to units that this host owns
   std::vector<ServiceRoute> published_routes;
   std::map<DataCentreId, std::vector<ServiceId>> published_remote;
--- a/pistachio/process/daemon/control_types.h
+++ b/pistachio/process/daemon/control_types.h
@@ -109,7 +109,7 @@
 struct ControlConfig {
   DataCentreId data_centre;
   MemberId self;
-  std::vector<HostId> peers;                ///< of the same data centre
+  std::vector<HostId> peers;  ///< of the same data centre
   std::map<HostId, DataCentreId> remote_peers;
   LeaseTiming lease;
   LedgerLimits ledger;
--- a/pistachio/process/daemon/control_units.cc
+++ b/pistachio/process/daemon/control_units.cc
@@ -65,8 +65,8 @@
 template <class Machine>
 void ControlState::DoLedger(LedgeredUnit<Machine>& unit, const LedgerRecovered& action) {
   unit.recovered = true;
-  this->Feed(unit, RackRecovered{action.epoch, action.snapshot, action.records,
-                                 action.next_sequence});
+  this->Feed(unit,
+             RackRecovered{action.epoch, action.snapshot, action.records, action.next_sequence});
   this->Feed(unit, ActUntilChanged{this->membership.act_until()});
 }
 
@@ -83,8 +83,7 @@
 
 template <class Machine>
 void ControlState::DoLedger(LedgeredUnit<Machine>& unit, const SnapshotWanted& /*action*/) {
-  this->FeedLedger(unit,
-                   SnapshotTaken{unit.machine.last_sequence(), unit.machine.TakeSnapshot()});
+  this->FeedLedger(unit, SnapshotTaken{unit.machine.last_sequence(), unit.machine.TakeSnapshot()});
 }
 
 template <class Machine>
--- a/pistachio/process/daemon/daemon.cc
+++ b/pistachio/process/daemon/daemon.cc
@@ -141,7 +141,9 @@
   this->hub = std::make_unique<PeerHub>(
       internal::HubConfigOf(this->settings, this->peer_secret),
       [this](const HostId& from, const std::string& bytes) { this->ReceivePeer(from, bytes); },
-      [this](const HostId& peer, bool open) { this->control->Post(PeerLinkChanged{peer, open}); });
+      [this](const HostId& peer, bool open) {
+        this->control->Post(PeerLinkChanged{peer, open});
+      });
   if (!this->hub->Start()) {
     this->error = {this->hub->last_error(), "check listen.peers"};
     return false;
--- a/pistachio/process/daemon/daemon_operators.cc
+++ b/pistachio/process/daemon/daemon_operators.cc
@@ -29,10 +29,9 @@
   }
   if (request.path == "/readyz") {
     const bool is_ready = this->ready;
-    this->operators->Answer(
-        request.exchange,
-        internal::TextAnswer(is_ready ? internal::kOk : internal::kNotReady,
-                             is_ready ? "ready\n" : "stopping\n"));
+    this->operators->Answer(request.exchange,
+                            internal::TextAnswer(is_ready ? internal::kOk : internal::kNotReady,
+                                                 is_ready ? "ready\n" : "stopping\n"));
     return;
   }
   if (request.path == "/metrics") {
@@ -40,8 +39,8 @@
     return;
   }
   if (this->Authorise(request)) {
-    this->control->Post(OperatorCalled{request.exchange, request.method, request.path,
-                                       request.body});
+    this->control->Post(
+        OperatorCalled{request.exchange, request.method, request.path, request.body});
   }
 }
 
--- a/pistachio/process/daemon/route_table.cc
+++ b/pistachio/process/daemon/route_table.cc
@@ -8,8 +8,8 @@
 bool RouteTable::Update(const PeerRoutes& routes) {
   const auto known = this->racks.find(routes.rack);
   const bool newer =
-      known == this->racks.end() || std::tie(routes.epoch, routes.version) >
-                                        std::tie(known->second.epoch, known->second.version);
+      known == this->racks.end() ||
+      std::tie(routes.epoch, routes.version) > std::tie(known->second.epoch, known->second.version);
   if (newer) {
     this->racks[routes.rack] = routes;
   }
--- a/pistachio/process/daemon/traffic_plane.cc
+++ b/pistachio/process/daemon/traffic_plane.cc
@@ -33,9 +33,9 @@
 /// \returns the milliseconds in \a text, or nothing if it is not a whole number of them.
 std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& text) {
   constexpr std::size_t kMostDigits = 9;
-  const bool digits = !text.empty() && text.size() <= kMostDigits &&
-                      std::all_of(text.begin(), text.end(),
-                                  [](unsigned char c) { return c >= '0' && c <= '9'; });
+  const bool digits =
+      !text.empty() && text.size() <= kMostDigits &&
+      std::all_of(text.begin(), text.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
   if (!digits) {
     return std::nullopt;
   }
@@ -66,16 +66,15 @@
                       std::vector<ServiceRoute>& routes) {
   for (const RemoteCentre& centre : remote) {
     for (const ServiceId& service : centre.services) {
-      auto route = std::find_if(routes.begin(), routes.end(), [&service](const ServiceRoute& r) {
-        return r.service == service;
-      });
+      auto route = std::find_if(routes.begin(), routes.end(),
+                                [&service](const ServiceRoute& r) { return r.service == service; });
       if (route == routes.end()) {
         routes.push_back(ServiceRoute{service, {}});
         route = routes.end() - 1;
       }
-      const bool own = std::any_of(
-          route->targets.begin(), route->targets.end(),
-          [](const RouteTarget& t) { return !t.leaving && !CentreOfTarget(t.target); });
+      const bool own =
+          std::any_of(route->targets.begin(), route->targets.end(),
+                      [](const RouteTarget& t) { return !t.leaving && !CentreOfTarget(t.target); });
       if (!own && !centre.hosts.empty()) {
         const TargetId target = TargetOfCentre(centre.data_centre);
         route->targets.push_back(RouteTarget{target, RackId(target.str()), slots, false});
@@ -116,14 +115,13 @@
   const auto spec = this->ReadSpec(request, &problem);
   if (!spec) {
     const bool no_path = !internal::ServiceOfPath(request.path);
-    this->ports.answer(
-        request.exchange,
-        internal::PlainAnswer(no_path ? internal::kNotFound : internal::kBadRequest,
-                              ErrorBody(problem, "see docs/API.md")));
+    this->ports.answer(request.exchange,
+                       internal::PlainAnswer(no_path ? internal::kNotFound : internal::kBadRequest,
+                                             ErrorBody(problem, "see docs/API.md")));
     return;
   }
-  const Waiter waiter{HttpCaller{request.exchange}, spec->id, spec->service, spec->idempotent,
-                      Now(this->clock)};
+  const OutcomeWaiter waiter{HttpCaller{request.exchange}, spec->id, spec->service,
+                             spec->idempotent, Now(this->clock)};
   this->Arrive(*spec, waiter, request.body);
 }
 
@@ -159,10 +157,10 @@
   return spec;
 }
 
-void TrafficPlane::Arrive(const RequestSpec& spec, const Waiter& waiter, const std::string& body) {
+void TrafficPlane::Arrive(const RequestSpec& spec, const OutcomeWaiter& waiter,
+                          const std::string& body) {
   Effects effects;
-  const IdRoute route =
-      RouteOfId(spec, this->config.data_centre, this->config.self, std::nullopt);
+  const IdRoute route = RouteOfId(spec, this->config.data_centre, this->config.self, std::nullopt);
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (const auto* home = std::get_if<ForwardToHome>(&route)) {
@@ -177,7 +175,8 @@
 }
 
 void TrafficPlane::PassToHome(const ForwardToHome& home, const RequestSpec& spec,
-                              const Waiter& waiter, const std::string& body, Effects& effects) {
+                              const OutcomeWaiter& waiter, const std::string& body,
+                              Effects& effects) {
   const std::uint64_t number = this->next_forward++;
   PeerForward forward;
   forward.forward = number;
@@ -191,8 +190,8 @@
   effects.messages.push_back(MessageToSend{home.host, std::move(forward), number});
 }
 
-void TrafficPlane::Admit(const RequestSpec& spec, const Waiter& waiter, const std::string& body,
-                         Effects& effects) {
+void TrafficPlane::Admit(const RequestSpec& spec, const OutcomeWaiter& waiter,
+                         const std::string& body, Effects& effects) {
   const ArrivalNumber arrival = this->next_arrival++;
   this->waiters[arrival] = waiter;
   Body& held = this->bodies[spec.id];
@@ -211,8 +210,7 @@
   }
 }
 
-void TrafficPlane::Do(const SendAttempt& action, const TargetAnswer* /*answer*/,
-                      Effects& effects) {
+void TrafficPlane::Do(const SendAttempt& action, const TargetAnswer* /*answer*/, Effects& effects) {
   AttemptToSend sending;
   sending.attempt = action;
   const auto body = this->bodies.find(action.attempt.request);
@@ -252,8 +250,7 @@
   // The call goes on to its end, which is when the slot is free; the broker drops its answer.
 }
 
-void TrafficPlane::Do(const CompleteRequest& action, const TargetAnswer* answer,
-                      Effects& effects) {
+void TrafficPlane::Do(const CompleteRequest& action, const TargetAnswer* answer, Effects& effects) {
   const auto waiter = this->waiters.find(action.arrival);
   if (waiter == this->waiters.end()) {
     return;
@@ -291,8 +288,8 @@
     if (!this->ports.send_peer(sending.to, sending.message)) {
       PeerForwardAnswer not_sent;
       not_sent.forward = sending.forward;
-      not_sent.outcome = Outcome{OutcomeKind::kNotRun, outcome_reason::kTargetsUnreachable,
-                                 Duration(0)};
+      not_sent.outcome =
+          Outcome{OutcomeKind::kNotRun, outcome_reason::kTargetsUnreachable, Duration(0)};
       const bool is_attempt = std::get<PeerForward>(sending.message).is_attempt;
       // Without its home nobody knows what an earlier try of the id did.
       if (!is_attempt) {
@@ -320,9 +317,8 @@
   request.body = sending.body;
   request.time_left = time_left;
   request.idempotent = sending.spec.idempotent;
-  SendRequestToTarget(this->client, request, [this, key](const TargetAnswer& answer) {
-    this->EndAttempt(key, answer);
-  });
+  SendRequestToTarget(this->client, request,
+                      [this, key](const TargetAnswer& answer) { this->EndAttempt(key, answer); });
 }
 
 void TrafficPlane::EndAttempt(const AttemptKey& attempt, const TargetAnswer& answer) {
@@ -339,7 +335,7 @@
 }
 
 void TrafficPlane::Tell(const AnswerToTell& telling) {
-  const Waiter& waiter = telling.waiter;
+  const OutcomeWaiter& waiter = telling.waiter;
   this->metrics.get().Observe(waiter.service, telling.outcome.kind,
                               Now(this->clock) - waiter.arrived);
   if (const auto* peer = std::get_if<PeerCaller>(&waiter.caller)) {
@@ -370,8 +366,7 @@
   spec.caller = forward.caller;
   spec.service = forward.service;
   spec.idempotent = forward.idempotent;
-  spec.deadline =
-      Now(this->clock) + std::min(forward.time_left, this->config.limits.max_deadline);
+  spec.deadline = Now(this->clock) + std::min(forward.time_left, this->config.limits.max_deadline);
   spec.id = forward.id;
   Effects effects;
   {
@@ -380,8 +375,8 @@
       spec.id = this->broker.IssueId(Now(this->clock));
       spec.first_use = true;
     }
-    const Waiter waiter{PeerCaller{from, forward.forward}, spec.id, spec.service, spec.idempotent,
-                        Now(this->clock)};
+    const OutcomeWaiter waiter{PeerCaller{from, forward.forward}, spec.id, spec.service,
+                               spec.idempotent, Now(this->clock)};
     this->Admit(spec, waiter, forward.body, effects);
   }
   this->CarryOut(effects);
@@ -397,9 +392,8 @@
     }
     const PassedOn passed = std::move(found->second);
     this->passed_on.erase(found);
-    if (const auto* waiter = std::get_if<Waiter>(&passed.origin)) {
-      effects.answers.push_back(
-          AnswerToTell{*waiter, answer.outcome, answer.status, answer.body});
+    if (const auto* waiter = std::get_if<OutcomeWaiter>(&passed.origin)) {
+      effects.answers.push_back(AnswerToTell{*waiter, answer.outcome, answer.status, answer.body});
     } else {
       const AttemptKey& key = std::get<AttemptKey>(passed.origin);
       TargetAnswer whole;
@@ -427,12 +421,12 @@
       ++passed;
       continue;
     }
-    if (const auto* waiter = std::get_if<Waiter>(&passed->second.origin)) {
+    if (const auto* waiter = std::get_if<OutcomeWaiter>(&passed->second.origin)) {
       effects.answers.push_back(AnswerToTell{*waiter, OutcomeOfUnreachableHome(), 0, ""});
     } else {
-      this->Feed(AttemptFailed{std::get<AttemptKey>(passed->second.origin),
-                               AttemptFailure::kMaybeRun},
-                 nullptr, effects);
+      this->Feed(
+          AttemptFailed{std::get<AttemptKey>(passed->second.origin), AttemptFailure::kMaybeRun},
+          nullptr, effects);
     }
     passed = this->passed_on.erase(passed);
   }
@@ -479,7 +473,7 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<RequestId> open = this->broker.open_requests();
   for (const auto& [number, passed] : this->passed_on) {
-    if (const auto* waiter = std::get_if<Waiter>(&passed.origin)) {
+    if (const auto* waiter = std::get_if<OutcomeWaiter>(&passed.origin)) {
       open.push_back(waiter->id);
     }
   }
--- a/pistachio/process/daemon/traffic_plane.h
+++ b/pistachio/process/daemon/traffic_plane.h
@@ -53,7 +53,7 @@
 };
 
 /// \brief Whoever waits for an outcome.
-struct Waiter {
+struct OutcomeWaiter {
   std::variant<HttpCaller, PeerCaller> caller;
   RequestId id;
   ServiceId service;
@@ -63,7 +63,7 @@
 
 /// \brief A request that was passed to the home of its id, or an attempt passed to a data centre.
 struct PassedOn {
-  std::variant<Waiter, AttemptKey> origin;
+  std::variant<OutcomeWaiter, AttemptKey> origin;
   TimePoint deadline;
 };
 
@@ -100,14 +100,14 @@
  private:
   using HttpCaller = internal::HttpCaller;
   using PeerCaller = internal::PeerCaller;
-  using Waiter = internal::Waiter;
+  using OutcomeWaiter = internal::OutcomeWaiter;
   using PassedOn = internal::PassedOn;
   struct Body {
     std::string bytes;
     std::uint32_t waiters = 0;
   };
   struct AnswerToTell {
-    Waiter waiter;
+    OutcomeWaiter waiter;
     Outcome outcome;
     int status = 0;
     std::string body;
@@ -132,10 +132,10 @@
   };
 
   std::optional<RequestSpec> ReadSpec(const ServedRequest& request, std::string* problem);
-  void Arrive(const RequestSpec& spec, const Waiter& waiter, const std::string& body);
-  void PassToHome(const ForwardToHome& home, const RequestSpec& spec, const Waiter& waiter,
+  void Arrive(const RequestSpec& spec, const OutcomeWaiter& waiter, const std::string& body);
+  void PassToHome(const ForwardToHome& home, const RequestSpec& spec, const OutcomeWaiter& waiter,
                   const std::string& body, Effects& effects);
-  void Admit(const RequestSpec& spec, const Waiter& waiter, const std::string& body,
+  void Admit(const RequestSpec& spec, const OutcomeWaiter& waiter, const std::string& body,
              Effects& effects);
   void Feed(const BrokerEvent& event, const TargetAnswer* answer, Effects& effects);
   void Do(const SendAttempt& action, const TargetAnswer* answer, Effects& effects);
@@ -158,7 +158,7 @@
   RequestBroker broker;
   std::map<TargetId, std::string> addresses;
   std::map<DataCentreId, std::vector<HostId>> remote_hosts;
-  std::map<ArrivalNumber, Waiter> waiters;
+  std::map<ArrivalNumber, OutcomeWaiter> waiters;
   std::unordered_map<RequestId, Body> bodies;
   std::unordered_map<RequestId, RequestSpec> specs;
   std::map<std::uint64_t, PassedOn> passed_on;
