Codec: a JSON type of its own

Cause: the operators' API and the wire codec both gave the JSON library functions for JobSpec, Resources and durations; the linker refused one, and the inline ones would have been mixed silently. Change: the wire uses ordered_json, so that the functions have different types; durations are written out as microseconds. Conclusion: a struct may have two forms as long as the JSON types differ.

--- a/pistachio/connection/codec/json_support.cc
+++ b/pistachio/connection/codec/json_support.cc
@@ -12,7 +12,7 @@
 /// recurse into what they read, so depth has to be bounded before they run.
 class DepthCheck {
  public:
-  using json = nlohmann::json;
+  using json = WireJson;
 
   bool null() { return true; }
   bool boolean(bool /*value*/) { return true; }
@@ -41,30 +41,30 @@
   std::size_t depth = 0;
 };
 
-bool IsBounded(const std::string& bytes, nlohmann::json::input_format_t format) {
+bool IsBounded(const std::string& bytes, WireJson::input_format_t format) {
   DepthCheck check;
-  return nlohmann::json::sax_parse(bytes, &check, format);
+  return WireJson::sax_parse(bytes, &check, format);
 }
 
 }  // namespace internal
 
-std::optional<nlohmann::json> ReadJson(const std::string& text) {
-  if (!internal::IsBounded(text, nlohmann::json::input_format_t::json)) {
+std::optional<WireJson> ReadJson(const std::string& text) {
+  if (!internal::IsBounded(text, WireJson::input_format_t::json)) {
     return std::nullopt;
   }
-  return nlohmann::json::parse(text);
+  return WireJson::parse(text);
 }
 
-std::optional<nlohmann::json> ReadCbor(const std::string& bytes) {
-  if (!internal::IsBounded(bytes, nlohmann::json::input_format_t::cbor)) {
+std::optional<WireJson> ReadCbor(const std::string& bytes) {
+  if (!internal::IsBounded(bytes, WireJson::input_format_t::cbor)) {
     return std::nullopt;
   }
-  return nlohmann::json::from_cbor(bytes);
+  return WireJson::from_cbor(bytes);
 }
 
-std::string WriteCbor(const nlohmann::json& json) {
+std::string WriteCbor(const WireJson& json) {
   std::string bytes;
-  nlohmann::json::to_cbor(json, bytes);
+  WireJson::to_cbor(json, bytes);
   return bytes;
 }
 
--- a/pistachio/connection/codec/store_json.cc
+++ b/pistachio/connection/codec/store_json.cc
@@ -4,7 +4,7 @@
 
 namespace pistachio {
 
-using nlohmann::json;
+using json = WireJson;
 
 namespace internal {
 
--- a/pistachio/connection/codec/task_json.cc
+++ b/pistachio/connection/codec/task_json.cc
@@ -2,7 +2,7 @@
 
 namespace pistachio {
 
-using nlohmann::json;
+using json = WireJson;
 
 namespace internal {
 
@@ -15,10 +15,11 @@
                  {"attempt", command.attempt},
                  {"spec", command.spec},
                  {"checkpoint", command.checkpoint},
-                 {"lease_term", command.lease_term}};
+                 {"lease_term", command.lease_term.count()}};
   }
   void operator()(const RenewCommand& command) const {
-    this->out = {{"type", "renew"}, {"tasks", command.tasks}, {"lease_term", command.lease_term}};
+    this->out = {
+        {"type", "renew"}, {"tasks", command.tasks}, {"lease_term", command.lease_term.count()}};
   }
   void operator()(const StopCommand& command) const { this->Write("stop", command); }
   void operator()(const CheckpointCommand& command) const { this->Write("checkpoint", command); }
@@ -47,14 +48,14 @@
   auto command = ReadTaskAndAttempt<StartCommand>(in);
   in.at("spec").get_to(command.spec);
   in.at("checkpoint").get_to(command.checkpoint);
-  in.at("lease_term").get_to(command.lease_term);
+  command.lease_term = internal::ReadDuration(in.at("lease_term"));
   return command;
 }
 
 RenewCommand ReadRenew(const json& in) {
   RenewCommand command;
   in.at("tasks").get_to(command.tasks);
-  in.at("lease_term").get_to(command.lease_term);
+  command.lease_term = internal::ReadDuration(in.at("lease_term"));
   return command;
 }
 
@@ -116,7 +117,7 @@
          {"priority", spec.priority},
          {"count", spec.count},
          {"declared", spec.declared},
-         {"expected_run", spec.expected_run},
+         {"expected_run", spec.expected_run.count()},
          {"max_attempts", spec.max_attempts},
          {"max_per_rack", spec.max_per_rack},
          {"only_in_racks", spec.only_in_racks}};
@@ -131,16 +132,19 @@
   in.at("priority").get_to(spec.priority);
   in.at("count").get_to(spec.count);
   in.at("declared").get_to(spec.declared);
-  in.at("expected_run").get_to(spec.expected_run);
+  spec.expected_run = internal::ReadDuration(in.at("expected_run"));
   in.at("max_attempts").get_to(spec.max_attempts);
   in.at("max_per_rack").get_to(spec.max_per_rack);
   in.at("only_in_racks").get_to(spec.only_in_racks);
 }
 
 void to_json(json& out, const TaskAssignment& assignment) {
-  out = {{"task", assignment.task},          {"attempt", assignment.attempt},
-         {"queue", assignment.queue},        {"rack", assignment.rack},
-         {"spec", assignment.spec},          {"checkpoint", assignment.checkpoint},
+  out = {{"task", assignment.task},
+         {"attempt", assignment.attempt},
+         {"queue", assignment.queue},
+         {"rack", assignment.rack},
+         {"spec", assignment.spec},
+         {"checkpoint", assignment.checkpoint},
          {"avoid", assignment.avoid_targets},
          {"serial", assignment.serial},
          {"settled_below", assignment.settled_below}};
@@ -195,12 +199,9 @@
 }
 
 void to_json(json& out, const WithdrawalReceived& withdrawal) {
-  out = {{"task", withdrawal.task},
-         {"attempt", withdrawal.attempt},
-         {"cancelled", withdrawal.cancelled},
-         {"queue", withdrawal.queue},
-         {"serial", withdrawal.serial},
-         {"settled_below", withdrawal.settled_below}};
+  out = {{"task", withdrawal.task},           {"attempt", withdrawal.attempt},
+         {"cancelled", withdrawal.cancelled}, {"queue", withdrawal.queue},
+         {"serial", withdrawal.serial},       {"settled_below", withdrawal.settled_below}};
 }
 
 void from_json(const json& in, WithdrawalReceived& withdrawal) {
@@ -259,8 +260,8 @@
 }
 
 void to_json(json& out, const TargetReport& report) {
-  out = {{"target", report.target}, {"boot", report.boot}, {"capacity", report.capacity},
-         {"load", report.load},     {"age", report.age},   {"tasks", report.tasks}};
+  out = {{"target", report.target}, {"boot", report.boot},       {"capacity", report.capacity},
+         {"load", report.load},     {"age", report.age.count()}, {"tasks", report.tasks}};
 }
 
 void from_json(const json& in, TargetReport& report) {
@@ -268,7 +269,7 @@
   in.at("boot").get_to(report.boot);
   in.at("capacity").get_to(report.capacity);
   in.at("load").get_to(report.load);
-  in.at("age").get_to(report.age);
+  report.age = internal::ReadDuration(in.at("age"));
   in.at("tasks").get_to(report.tasks);
 }
 
--- a/pistachio/connection/peer/messages.cc
+++ b/pistachio/connection/peer/messages.cc
@@ -4,20 +4,20 @@
 
 namespace pistachio {
 
-using nlohmann::json;
+using json = WireJson;
 
 // The fields of each message. Bodies are bytes, everything else is text, numbers and lists.
 
 void to_json(json& out, const Outcome& outcome) {
   out = {{"kind", static_cast<int>(outcome.kind)},
          {"reason", outcome.reason},
-         {"retry_after", outcome.retry_after}};
+         {"retry_after", outcome.retry_after.count()}};
 }
 
 void from_json(const json& in, Outcome& outcome) {
   outcome.kind = internal::ReadEnum(in.at("kind"), OutcomeKind::kDeadlinePassed);
   in.at("reason").get_to(outcome.reason);
-  in.at("retry_after").get_to(outcome.retry_after);
+  outcome.retry_after = internal::ReadDuration(in.at("retry_after"));
 }
 
 namespace internal {
@@ -69,14 +69,14 @@
   out = json::object({{"voucher", message.voucher},
                       {"holder", message.holder},
                       {"sequence", message.sequence},
-                      {"valid_for", message.valid_for}});
+                      {"valid_for", message.valid_for.count()}});
 }
 
 void from_json(const json& in, VouchPromise& message) {
   in.at("voucher").get_to(message.voucher);
   in.at("holder").get_to(message.holder);
   in.at("sequence").get_to(message.sequence);
-  in.at("valid_for").get_to(message.valid_for);
+  message.valid_for = internal::ReadDuration(in.at("valid_for"));
 }
 
 void to_json(json& out, const UnitMoved& message) {
@@ -209,7 +209,7 @@
                       {"id", message.id},
                       {"caller", message.caller},
                       {"service", message.service},
-                      {"time_left", message.time_left},
+                      {"time_left", message.time_left.count()},
                       {"idempotent", message.idempotent},
                       {"body", internal::WriteBytes(message.body)}});
 }
@@ -220,7 +220,7 @@
   in.at("id").get_to(message.id);
   in.at("caller").get_to(message.caller);
   in.at("service").get_to(message.service);
-  in.at("time_left").get_to(message.time_left);
+  message.time_left = internal::ReadDuration(in.at("time_left"));
   in.at("idempotent").get_to(message.idempotent);
   message.body = internal::ReadBytes(in.at("body"));
 }
--- a/pistachio/connection/platform/key_value_client.cc
+++ b/pistachio/connection/platform/key_value_client.cc
@@ -37,7 +37,7 @@
   HttpCall http;
   http.method = "POST";
   http.url = this->url + "/v1/call";
-  http.body = nlohmann::json(call).dump();
+  http.body = WireJson(call).dump();
   http.timeout = internal::TimeoutOf(call);
   this->client.get().Send(http, [callback = std::move(callback)](const HttpResult& result) {
     callback(internal::ReplyOf(result));
--- a/pistachio/connection/platform/target_client.cc
+++ b/pistachio/connection/platform/target_client.cc
@@ -62,7 +62,7 @@
   try {
     json->at("targets").get_to(list.targets);
     json->at("entry_hosts").get_to(list.entry_hosts);
-  } catch (const nlohmann::json::exception&) {
+  } catch (const WireJson::exception&) {
     return std::nullopt;
   }
   return list;
@@ -78,7 +78,7 @@
   HttpCall call;
   call.method = "POST";
   call.url = "http://" + address + "/v1/command";
-  call.body = nlohmann::json(FencedCommand{epoch, command}).dump();
+  call.body = WireJson(FencedCommand{epoch, command}).dump();
   call.timeout = timeout;
   this->client.get().Send(call, [callback = std::move(callback)](const HttpResult& result) {
     callback(internal::CommandAnswerOf(result));
--- a/tests/codec/bounded_reading_test.cc
+++ b/tests/codec/bounded_reading_test.cc
@@ -17,21 +17,21 @@
 }
 
 TEST_CASE("a value with a missing, mistyped or out-of-range field is refused", "[codec]") {
-  nlohmann::json spec = JobSpec{};
+  WireJson spec = JobSpec{};
   REQUIRE(FromJson<JobSpec>(spec));
-  nlohmann::json missing = spec;
+  WireJson missing = spec;
   missing.erase("team");
   REQUIRE_FALSE(FromJson<JobSpec>(missing));
-  nlohmann::json mistyped = spec;
+  WireJson mistyped = spec;
   mistyped["count"] = "many";
   REQUIRE_FALSE(FromJson<JobSpec>(mistyped));
-  nlohmann::json unknown_kind = spec;
+  WireJson unknown_kind = spec;
   unknown_kind["kind"] = 9;
   REQUIRE_FALSE(FromJson<JobSpec>(unknown_kind));
 }
 
 TEST_CASE("an unknown field is ignored", "[codec]") {
-  nlohmann::json spec = JobSpec{};
+  WireJson spec = JobSpec{};
   spec["added_later"] = 1;
   REQUIRE(FromJson<JobSpec>(spec));
 }
@@ -46,12 +46,12 @@
       ThrottleCommand{task, 2, 0.5},
       ForgetCommand{task, 2}};
   for (const TargetCommand& command : commands) {
-    const nlohmann::json written = FencedCommand{7, command};
+    const WireJson written = FencedCommand{7, command};
     const auto read = FromJson<FencedCommand>(written);
     REQUIRE(read);
     REQUIRE(read->epoch == 7);
     REQUIRE(read->command.index() == command.index());
-    REQUIRE(nlohmann::json(*read) == written);
+    REQUIRE(WireJson(*read) == written);
   }
 }
 
--- a/tests/platform/standin_test.cc
+++ b/tests/platform/standin_test.cc
@@ -17,7 +17,7 @@
   return reply.get();
 }
 
-void Control(HttpClient& client, const ListenAddress& address, const nlohmann::json& body) {
+void Control(HttpClient& client, const ListenAddress& address, const WireJson& body) {
   HttpCall call;
   call.method = "POST";
   call.url = "http://" + address.str() + "/control";
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -35,7 +35,7 @@
   this->server.Stop();
 }
 
-void PlatformServer::Reply(ExchangeId exchange, int status, const nlohmann::json& body) {
+void PlatformServer::Reply(ExchangeId exchange, int status, const WireJson& body) {
   ServedAnswer answer;
   answer.status = status;
   answer.body = body.dump();
@@ -123,8 +123,8 @@
       shown = &version;
     }
   }
-  nlohmann::json targets = nlohmann::json::array();
-  nlohmann::json hosts = nlohmann::json::array();
+  WireJson targets = WireJson::array();
+  WireJson hosts = WireJson::array();
   if (shown != nullptr) {
     for (const auto& [id, listing] : shown->targets) {
       targets.push_back(listing);
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -57,7 +57,7 @@
   void Execute(const WaitingCall& waiting);
   void AnswerWatches(TimePoint now);
   void RunTimers();
-  void Reply(ExchangeId exchange, int status, const nlohmann::json& body);
+  void Reply(ExchangeId exchange, int status, const WireJson& body);
 
   Clock clock;
   Duration lag;
--- a/tests/standins/target_server.cc
+++ b/tests/standins/target_server.cc
@@ -37,7 +37,7 @@
   this->server.Stop();
 }
 
-void TargetServer::Reply(ExchangeId exchange, int status, const nlohmann::json& body) {
+void TargetServer::Reply(ExchangeId exchange, int status, const WireJson& body) {
   ServedAnswer answer;
   answer.status = status;
   answer.body = body.dump();
@@ -97,8 +97,7 @@
   PendingAnswer answer;
   answer.exchange = request.exchange;
   answer.answer.body =
-      nlohmann::json{{"id", id}, {"target", this->model.listing().target}, {"echo", request.body}}
-          .dump();
+      WireJson{{"id", id}, {"target", this->model.listing().target}, {"echo", request.body}}.dump();
   if (this->behaviour.lose_answers > 0) {
     this->behaviour.lose_answers--;
     answer.lost = true;
@@ -158,10 +157,10 @@
   }
 }
 
-nlohmann::json TargetServer::Counts() {
+WireJson TargetServer::Counts() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->model.Advance(Now(this->clock));
-  nlohmann::json intervals = nlohmann::json::array();
+  WireJson intervals = WireJson::array();
   for (const RunInterval& interval : this->model.intervals()) {
     intervals.push_back({{"task", interval.task.str()},
                          {"attempt", interval.attempt},
--- a/tests/standins/target_server.h
+++ b/tests/standins/target_server.h
@@ -34,7 +34,7 @@
   void Stop();
 
   /// \returns what ran here: requests by id, intervals of tasks, slots in use at most.
-  nlohmann::json Counts();
+  WireJson Counts();
 
  private:
   struct PendingAnswer {
@@ -50,7 +50,7 @@
   bool Admit(const ServiceId& service);
   void RunTimers();
   void FinishDue(std::unique_lock<std::mutex>& lock);
-  void Reply(ExchangeId exchange, int status, const nlohmann::json& body);
+  void Reply(ExchangeId exchange, int status, const WireJson& body);
 
   Clock clock;
   std::mutex mutex;
