--- a/tests/programs/standin_target/main.cc
+++ b/tests/programs/standin_target/main.cc
@@ -56,7 +56,7 @@
   pistachio::HttpCall call;
   call.method = "POST";
   call.url = "http://" + FLAGS_platform + "/v1/register";
-  call.body = WireJson(listing).dump();
+  call.body = pistachio::WireJson(listing).dump();
   const pistachio::HttpResult registered = client.SendAndWait(call);
   if (!registered.answered()) {
     std::cerr << "cannot register with the platform: " << registered.reason << "\n";
