The daemon runs the whole path

Cause: ticking a unit can give it up, which erased the map node under the loop's iterator; the control thread then walked a freed tree for ever. The batch job is not finished in time yet.

--- a/pistachio/process/daemon/control_state.cc
+++ b/pistachio/process/daemon/control_state.cc
@@ -128,12 +128,7 @@
 
 void ControlState::On(const ControlTick& /*event*/) {
   this->FeedMembership(MemberTick{});
-  for (auto& [unit, rack] : this->racks) {
-    this->TickUnit(rack);
-  }
-  for (auto& [unit, queue] : this->queues) {
-    this->TickUnit(queue);
-  }
+  this->TickUnits();
   this->ExpireGathers();
   if (this->now >= this->next_standings_read) {
     this->next_standings_read = this->now + internal::kStandingsReadEvery;
@@ -149,6 +144,27 @@
   }
 }
 
+void ControlState::TickUnits() {
+  // A drained unit is given up, and so erased, inside its own tick.
+  std::vector<UnitId> owned;
+  for (const auto& [unit, rack] : this->racks) {
+    owned.push_back(unit);
+  }
+  for (const auto& [unit, queue] : this->queues) {
+    owned.push_back(unit);
+  }
+  for (const UnitId& unit : owned) {
+    const auto rack = this->racks.find(unit);
+    if (rack != this->racks.end()) {
+      this->TickUnit(rack->second);
+    }
+    const auto queue = this->queues.find(unit);
+    if (queue != this->queues.end()) {
+      this->TickUnit(queue->second);
+    }
+  }
+}
+
 void ControlState::On(const StopRequested& /*event*/) {
   this->stopping = true;
   this->FeedMembership(LeaveRequested{});
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -57,6 +57,7 @@
   void RunLocal();
   void NoteStore(StoreStatus status);
   void RefreshTargets();
+  void TickUnits();
   void RejoinIfExpelled();
 
   // Membership's actions (control_state.cc).
--- a/pistachio/version/settings.h
+++ b/pistachio/version/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "pistachio/process/policy/policy_settings.h"
 #include "pistachio/process/runtime/clock.h"
 #include "pistachio/process/runtime/ids.h"
 #include "pistachio/process/tasks/types.h"
@@ -34,13 +35,6 @@
   std::string document;       ///< TOML
 };
 
-/// \brief Weights of what the policy minds.
-struct PolicyWeights {
-  double tail_latency = 0.0;
-  double batch_throughput = 0.0;
-  double evictions = 0.0;
-};
-
 /// \brief What the root subtree says for everybody.
 struct RootSettings {
   PolicyWeights policy;
