Ledgers are named by data centre; another data centre is reached by any of its hosts

Change: the ledger's name holds the data centre; an attempt at another data centre goes to the next host if no connection took it; the bound for slots in use is the longest deadline.

--- a/pistachio/process/daemon/control_units.cc
+++ b/pistachio/process/daemon/control_units.cc
@@ -2,10 +2,21 @@
 
 namespace pistachio {
 
+namespace internal {
+
+/// Data centres have units of the same name, and one key-value service for all their ledgers.
+UnitId LedgerNameOf(const DataCentreId& data_centre, const UnitId& unit) {
+  return UnitId(data_centre.str() + "/" + unit.str());
+}
+
+}  // namespace internal
+
 void ControlState::OpenRack(const RackId& rack, const UnitAcquired& action) {
   this->racks.erase(action.unit);
-  RackUnit unit{action.unit, action.epoch, Ledger(action.unit, this->config.ledger),
-                RackController(rack, this->config.rack, this->config.policy)};
+  RackUnit unit{
+      action.unit, action.epoch,
+      Ledger(internal::LedgerNameOf(this->config.data_centre, action.unit), this->config.ledger),
+      RackController(rack, this->config.rack, this->config.policy)};
   RackUnit& opened = this->racks.emplace(action.unit, std::move(unit)).first->second;
   this->publications[action.unit] = RackPublication{};
   this->Open(opened);
@@ -14,8 +25,10 @@
 
 void ControlState::OpenQueue(const UnitAcquired& action) {
   this->queues.erase(action.unit);
-  QueueUnit unit{action.unit, action.epoch, Ledger(action.unit, this->config.ledger),
-                 JobQueue(action.unit, this->config.rack)};
+  QueueUnit unit{
+      action.unit, action.epoch,
+      Ledger(internal::LedgerNameOf(this->config.data_centre, action.unit), this->config.ledger),
+      JobQueue(action.unit, this->config.rack)};
   this->Open(this->queues.emplace(action.unit, std::move(unit)).first->second);
 }
 
--- a/pistachio/process/daemon/daemon.cc
+++ b/pistachio/process/daemon/daemon.cc
@@ -19,6 +19,8 @@
   config.data_centre = settings.data_centre;
   config.self = self;
   config.lease = settings.lease;
+  // No request keeps a slot for longer than the longest deadline.
+  config.lease.max_request = settings.max_deadline;
   for (const PeerAddress& peer : settings.peers) {
     config.peers.push_back(peer.host);
   }
--- a/pistachio/process/daemon/traffic_plane.cc
+++ b/pistachio/process/daemon/traffic_plane.cc
@@ -187,7 +187,7 @@
   forward.idempotent = spec.idempotent;
   forward.body = body;
   this->passed_on[number] = PassedOn{waiter, spec.deadline};
-  effects.messages.push_back(MessageToSend{home.host, std::move(forward), number});
+  effects.messages.push_back(MessageToSend{home.host, std::move(forward), number, {}});
 }
 
 void TrafficPlane::Admit(const RequestSpec& spec, const OutcomeWaiter& waiter,
@@ -241,8 +241,11 @@
   forward.idempotent = sending.spec.idempotent;
   forward.body = sending.body;
   this->passed_on[number] = PassedOn{sending.attempt.attempt, sending.attempt.deadline};
-  const HostId host = hosts.empty() ? HostId() : hosts[number % hosts.size()];
-  effects.messages.push_back(MessageToSend{host, std::move(forward), number});
+  MessageToSend message{HostId(), std::move(forward), number, {}};
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    message.others.push_back(hosts[(number + i) % hosts.size()]);
+  }
+  effects.messages.push_back(std::move(message));
 }
 
 void TrafficPlane::Do(const AbandonAttempt& /*action*/, const TargetAnswer* /*answer*/,
@@ -285,19 +288,30 @@
     this->Send(sending);
   }
   for (const MessageToSend& sending : effects.messages) {
-    if (!this->ports.send_peer(sending.to, sending.message)) {
-      PeerForwardAnswer not_sent;
-      not_sent.forward = sending.forward;
-      not_sent.outcome =
-          Outcome{OutcomeKind::kNotRun, outcome_reason::kTargetsUnreachable, Duration(0)};
-      const bool is_attempt = std::get<PeerForward>(sending.message).is_attempt;
-      // Without its home nobody knows what an earlier try of the id did.
-      if (!is_attempt) {
-        not_sent.outcome = OutcomeOfUnreachableHome();
-      }
-      this->Take(sending.to, not_sent);
+    this->SendMessage(sending);
+  }
+}
+
+void TrafficPlane::SendMessage(const MessageToSend& sending) {
+  // A message that no connection took has not left, so the next host may get it.
+  std::vector<HostId> hosts = sending.others;
+  if (hosts.empty()) {
+    hosts.push_back(sending.to);
+  }
+  for (const HostId& host : hosts) {
+    if (this->ports.send_peer(host, sending.message)) {
+      return;
     }
   }
+  PeerForwardAnswer not_sent;
+  not_sent.forward = sending.forward;
+  not_sent.outcome = OutcomeOfUnreachableHome();
+  // Without its home nobody knows what an earlier try of the id did; an attempt is known unsent.
+  if (std::get<PeerForward>(sending.message).is_attempt) {
+    not_sent.outcome =
+        Outcome{OutcomeKind::kNotRun, outcome_reason::kTargetsUnreachable, Duration(0)};
+  }
+  this->Take(sending.to, not_sent);
 }
 
 void TrafficPlane::Send(const AttemptToSend& sending) {
--- a/pistachio/process/daemon/traffic_plane.h
+++ b/pistachio/process/daemon/traffic_plane.h
@@ -122,6 +122,7 @@
     HostId to;
     TrafficMessage message;
     std::uint64_t forward = 0;
+    std::vector<HostId> others;  ///< any of these will do, in this order; empty for \a to alone
   };
   /// What is to be done once the lock is released.
   struct Effects {
@@ -145,6 +146,7 @@
   void SendToCentre(const AttemptToSend& sending, Effects& effects);
   void CarryOut(Effects& effects);
   void Send(const AttemptToSend& sending);
+  void SendMessage(const MessageToSend& sending);
   void Tell(const AnswerToTell& answer);
   void EndAttempt(const AttemptKey& attempt, const TargetAnswer& answer);
   void ExpirePassedOn(Effects& effects);
