--- a/pistachio/process/daemon/control_settings.cc
+++ b/pistachio/process/daemon/control_settings.cc
@@ -117,8 +117,9 @@
     }
   }
   this->Feed(unit, quotas);
-  for (const JobSpec& service : services) {
-    this->settings_jobs.insert(service.job);
+  for (JobSpec& service : services) {
+    // Each data centre runs instances of its own; without its name two of them would share a task.
+    service.job = JobId(service.job.str() + "." + this->config.data_centre.str());
     this->Feed(unit, JobSubmitted{service});
   }
 }
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -180,7 +180,6 @@
   StandingTable standings;
   SettingsDesk settings;
   bool settings_changed = false;
-  std::set<JobId> settings_jobs;  ///< services of the settings that were submitted here
   DecisionHistory history;
   std::vector<TargetListing> listed;                    ///< as the platform has it
   std::deque<std::pair<HostId, ControlMessage>> local;  ///< to units that this host owns
--- a/pistachio/process/daemon/daemon.cc
+++ b/pistachio/process/daemon/daemon.cc
@@ -234,11 +234,12 @@
     std::unique_lock<std::mutex> lock(s.mutex);
     s.changed.wait_for(lock, internal::kReadinessGrace, [] { return false; });
   }
-  s.control->Post(StopRequested{});
-  s.WaitUntilLeft();
+  // The slots of this host go to others once it leaves, so its requests have to end first.
   s.callers->StopListening();
   s.traffic->BeginStop();
   s.WaitUntilIdle();
+  s.control->Post(StopRequested{});
+  s.WaitUntilLeft();
   const std::vector<RequestId> unfinished = s.traffic->open_requests();
   EventRecord stopped{EventCode::kProcessStopped,
                       {{"host", s.self.host.str()},
