Policy fed with changes and weights; a job is claimed for one data centre

Cause: the controller told the policy nothing of changes beside a task, so reports from before a change were learned as if they were from after it; the policy's events were never logged; weights of the settings reached nobody. A job submitted again in another data centre would have run in both. Change: targets carry the instant of their last change, events are taken, weights are applied; a submission first claims the job's name for the data centre by compare-and-swap, one write for a job. Conclusion: claims are kept for good; removing them for forgotten jobs is left.

--- a/pistachio/connection/peer/hub.h
+++ b/pistachio/connection/peer/hub.h
@@ -21,7 +21,8 @@
   std::map<HostId, std::string> peers;  ///< address of each, as `ip:port`
   std::string secret;                   ///< shared by all entry hosts; never logged
   std::size_t max_message_bytes = std::size_t{8} * 1024 * 1024;
-  std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;  ///< for one peer that does not read
+  std::size_t max_buffered_bytes =
+      std::size_t{32} * 1024 * 1024;  ///< for one peer that does not read
   std::chrono::milliseconds reconnect_every{200};
 };
 
--- a/pistachio/process/daemon/control_operators.cc
+++ b/pistachio/process/daemon/control_operators.cc
@@ -125,7 +125,7 @@
       this->ports.answer_operator(event.call, internal::kConflict, EncodeBody(answer));
       return;
     }
-    this->AskOwner(QueueOfTeam(spec->team, this->config.queues), event);
+    this->ClaimJob(event, *spec);
     return;
   }
   this->AskEveryHost(event);
--- a/pistachio/process/daemon/control_settings.cc
+++ b/pistachio/process/daemon/control_settings.cc
@@ -99,6 +99,9 @@
 }
 
 void ControlState::ApplySettings() {
+  for (auto& [unit, rack] : this->racks) {
+    rack.machine.SetWeights(this->settings.hierarchy().root().policy);
+  }
   for (auto& [unit, queue] : this->queues) {
     this->ApplySettings(queue);
   }
--- a/pistachio/process/daemon/control_state.cc
+++ b/pistachio/process/daemon/control_state.cc
@@ -50,6 +50,10 @@
     this->settings.TakeReply(event.call, event.reply, this->now);
     return;
   }
+  if (std::holds_alternative<JobClaimOrigin>(event.origin)) {
+    this->TakeClaim(event.call, event.reply);
+    return;
+  }
   const auto& origin = std::get<LedgerOrigin>(event.origin);
   const LedgerStoreAnswered answered{event.call, event.reply};
   const auto rack = this->racks.find(origin.unit);
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -145,6 +145,10 @@
   bool MayChange(const OperatorCalled& event, const std::string& subtree) const;
   bool IsKnownOperator(const OperatorCalled& event) const;
 
+  // Claims of jobs (control_jobs.cc).
+  void ClaimJob(const OperatorCalled& event, const JobSpec& spec);
+  void TakeClaim(std::uint64_t call, const StoreReply& reply);
+
   // Operators (control_operators.cc).
   bool RefuseOperator(const OperatorCalled& event);
   void ServeOperator(const OperatorCalled& event);
@@ -188,6 +192,7 @@
   std::map<TargetId, std::string> published_addresses;
   std::map<std::uint64_t, OperatorGather> gathers;
   std::map<std::uint64_t, std::uint64_t> gather_of_call;  ///< calls to hosts, by their number
+  std::map<std::uint64_t, OperatorCalled> claiming;       ///< submissions whose claim is under way
   std::map<JobId, std::vector<OperatorCaller>> submitters;
   std::vector<CommitWaiter> commit_waiters;
   std::map<HostId, TimePoint> last_heard;
--- a/pistachio/process/daemon/control_types.h
+++ b/pistachio/process/daemon/control_types.h
@@ -31,8 +31,11 @@
 };
 struct StandingsOrigin {};
 struct SettingsOrigin {};
+/// \brief The claim of a job for this data centre, made for an operator's call.
+struct JobClaimOrigin {};
 
-using StoreOrigin = std::variant<MembershipOrigin, LedgerOrigin, StandingsOrigin, SettingsOrigin>;
+using StoreOrigin =
+    std::variant<MembershipOrigin, LedgerOrigin, StandingsOrigin, SettingsOrigin, JobClaimOrigin>;
 
 // ---- Events of the control state.
 
--- a/pistachio/process/policy/interference_policy.h
+++ b/pistachio/process/policy/interference_policy.h
@@ -39,6 +39,9 @@
   /// \returns events since the last call, for the log.
   std::vector<EventRecord> TakeEvents();
 
+  /// \brief Takes other weights from now on; what was learned stays.
+  void SetWeights(const PolicyWeights& weights) { this->settings.weights = weights; }
+
   /// \brief Forgets what was observed of a target that is gone.
   void Forget(const TargetId& target);
 
--- a/pistachio/process/tasks/rack_controller.cc
+++ b/pistachio/process/tasks/rack_controller.cc
@@ -146,6 +146,12 @@
   this->ForgetSettled();
 }
 
+void RackController::SetWeights(const PolicyWeights& weights) {
+  if (auto* interference = std::get_if<InterferencePolicy>(&this->policy)) {
+    interference->SetWeights(weights);
+  }
+}
+
 std::map<TargetId, Resources> RackController::committed() const {
   std::map<TargetId, Resources> amounts;
   for (const auto& [id, target] : this->targets) {
--- a/pistachio/process/tasks/rack_controller.h
+++ b/pistachio/process/tasks/rack_controller.h
@@ -134,6 +134,9 @@
   /// \brief Takes in one event. \returns what is to be done, in order.
   std::vector<RackAction> Handle(const RackEvent& event, TimePoint now);
 
+  /// \brief Takes the operators' weights; what the policy has learned stays.
+  void SetWeights(const PolicyWeights& weights);
+
   /// \returns the whole state for the ledger, in place of every record up to `last_sequence()`.
   std::string TakeSnapshot() const;
 
--- a/pistachio/process/tasks/rack_placement.cc
+++ b/pistachio/process/tasks/rack_placement.cc
@@ -221,6 +221,7 @@
   target.view.committed += spec.declared;
   target.view.neighbours.push_back(
       {placement.task, spec.kind, spec.work_class, spec.priority, spec.declared, 1.0});
+  target.view.changed_at = this->now;
   target.tasks.insert(placement.task);
   if (target.quarantined) {
     target.next_probe = this->now + this->limits.quarantine_probe_every;
@@ -238,6 +239,7 @@
     return other.task == placement.task;
   });
   neighbours.erase(row);
+  target.view.changed_at = this->now;
   target.tasks.erase(placement.task);
 }
 
--- a/pistachio/process/tasks/rack_reports.cc
+++ b/pistachio/process/tasks/rack_reports.cc
@@ -82,6 +82,7 @@
   }
   placement.stage = PlacementStage::kRunning;
   placement.running_since = this->now;
+  target.view.changed_at = this->now;
   target.next_renew = this->now;
   const bool batch = this->SpecOf(placement.task.job).kind == WorkKind::kBatch;
   if (std::exchange(placement.adopted, false) && batch) {
--- a/pistachio/process/tasks/rack_timers.cc
+++ b/pistachio/process/tasks/rack_timers.cc
@@ -91,6 +91,9 @@
   for (const Reaction& reaction : reactions) {
     this->Carry(reaction);
   }
+  for (EventRecord& event : TakeEvents(this->policy)) {
+    this->actions.emplace_back(ReportEvent{std::move(event)});
+  }
 }
 
 void RackController::Carry(const Reaction& reaction) {
@@ -99,6 +102,7 @@
     return;
   }
   Placement& placement = found->second;
+  this->actions.emplace_back(ReportEvent{EventOf(reaction)});
   if (reaction.kind == ReactionKind::kEvict) {
     if (this->SpendEviction()) {
       this->BeginStop(placement, AttemptOutcome::kEvicted, reaction.reason);
@@ -106,7 +110,9 @@
     return;
   }
   placement.throttle = reaction.throttle;
-  for (Neighbour& neighbour : this->targets.at(placement.target).view.neighbours) {
+  TargetView& view = this->targets.at(placement.target).view;
+  view.changed_at = this->now;
+  for (Neighbour& neighbour : view.neighbours) {
     if (neighbour.task == reaction.task) {
       neighbour.throttle = reaction.throttle;
     }
