--- a/pistachio/process/runtime/event_catalogue.cc
+++ b/pistachio/process/runtime/event_catalogue.cc
@@ -28,6 +28,18 @@
   return quoted;
 }
 
+const char* NameOf(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
 std::vector<EventDescription> JoinAreas() {
   std::vector<EventDescription> all;
   for (const auto* area : {&ProcessEvents(), &MembershipEvents(), &TaskEvents(), &RequestEvents(),
@@ -54,6 +66,20 @@
   return *row;
 }
 
+std::string RenderEventsPage() {
+  std::string page =
+      "# Events\n\n"
+      "Made by `pistachiod --print_events`; change the catalogue, not this page. Each log line "
+      "starts with\nthe time, the level, the host, the number and the name; fields follow as "
+      "`name=value`.\n\n"
+      "| Number | Name | Level | Meaning |\n|---|---|---|---|\n";
+  for (const EventDescription& row : EventCatalogue()) {
+    page += fmt::format("| {} | `{}` | {} | {} |\n", static_cast<int>(row.code), row.name,
+                        internal::NameOf(row.severity), row.meaning);
+  }
+  return page;
+}
+
 std::string EventRecord::str() const {
   const auto description = FindEvent(this->code);
   std::string line = fmt::format("E{} {}", static_cast<int>(this->code),
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -129,6 +129,9 @@
 /// \returns the row of \a code, or nothing if the catalogue lacks it.
 std::optional<EventDescription> FindEvent(EventCode code);
 
+/// \returns docs/EVENTS.md, made from the catalogue.
+std::string RenderEventsPage();
+
 /// \brief One event as decided by pure code, to be written by whoever carries out its actions.
 struct EventRecord {
   EventCode code;
--- a/tests/runtime/event_catalogue_test.cc
+++ b/tests/runtime/event_catalogue_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 #include "pistachio/process/runtime.h"
 
@@ -16,6 +19,18 @@
   }
 }
 
+TEST_CASE("docs/EVENTS.md is what the catalogue says", "[events]") {
+  std::filesystem::path folder = std::filesystem::current_path();
+  while (folder.has_relative_path() && !std::filesystem::exists(folder / "docs/EVENTS.md")) {
+    folder = folder.parent_path();
+  }
+  std::ostringstream page;
+  page << std::ifstream(folder / "docs/EVENTS.md").rdbuf();
+  INFO("write it anew: pistachiod --print_events > docs/EVENTS.md");
+  const bool same = page.str() == RenderEventsPage();
+  REQUIRE(same);
+}
+
 TEST_CASE("an event line quotes values with spaces and quotes", "[events]") {
   const EventRecord record{EventCode::kBadInput, {{"from", "a b"}, {"text", "say \"x\""}}};
   REQUIRE(record.str() == "E1006 bad-input from=\"a b\" text=\"say \\\"x\\\"\"");
--- a/tools/pistachiod/main.cc
+++ b/tools/pistachiod/main.cc
@@ -10,6 +10,7 @@
 #include "pistachio/version.h"
 
 DEFINE_string(settings, "", "TOML file with this entry host's settings");
+DEFINE_bool(print_events, false, "print docs/EVENTS.md and exit");
 DEFINE_string(check_settings, "", "check this settings file in full and exit");
 
 namespace {
@@ -66,6 +67,10 @@
       "  pistachiod --check_settings FILE\n\n"
       "SIGTERM stops it gracefully. Exit codes: 0 done, 1 refused, 2 wrong usage.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_print_events) {
+    std::cout << pistachio::RenderEventsPage();
+    return kOk;
+  }
   if (!FLAGS_check_settings.empty()) {
     const bool good = ReadSettings(FLAGS_check_settings).has_value();
     std::cout << FLAGS_check_settings << (good ? ": correct\n" : ": refused\n");
