--- a/pistachio/connection/platform/http_server.cc
+++ b/pistachio/connection/platform/http_server.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <condition_variable>
 #include <mutex>
 #include <unordered_map>
 
@@ -25,6 +26,9 @@
   bool suspended = false;
 };
 
+/// How long a client may take to read its last answer when the server stops.
+constexpr std::chrono::seconds kSendBound{2};
+
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
                  [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
@@ -56,6 +60,13 @@
   return queued;
 }
 
+ServedAnswer Stopping() {
+  ServedAnswer answer;
+  answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+  answer.body = R"({"error":"stopping"})";
+  return answer;
+}
+
 ServedAnswer TooLarge(std::size_t limit) {
   ServedAnswer answer;
   answer.status = MHD_HTTP_CONTENT_TOO_LARGE;
@@ -96,6 +107,7 @@
   std::string error;
   std::atomic<ExchangeId> next_exchange{1};
   std::mutex mutex;
+  std::condition_variable closed;
   bool stopping = false;
   std::unordered_map<ExchangeId, internal::Exchange> exchanges;
 
@@ -103,6 +115,7 @@
   MHD_Result Upload(ExchangeId id, const char* data, std::size_t* bytes);
   MHD_Result Dispatch(ExchangeId id, MHD_Connection* connection);
   void Close(ExchangeId id);
+  void WaitUntilClosed(const std::vector<ExchangeId>& open);
 
   static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* path,
                              const char* method, const char* version, const char* data,
@@ -157,6 +170,10 @@
     if (exchange.dispatched) {
       return MHD_YES;
     }
+    if (this->stopping) {
+      // The library ends the process if it is stopped with a connection that is suspended.
+      return internal::QueueAnswer(connection, internal::Stopping());
+    }
     exchange.dispatched = true;
     exchange.suspended = true;
     request = std::move(exchange.request);
@@ -169,6 +186,16 @@
 void HttpServer::State::Close(ExchangeId id) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->exchanges.erase(id);
+  this->closed.notify_all();
+}
+
+void HttpServer::State::WaitUntilClosed(const std::vector<ExchangeId>& open) {
+  // The library cuts off answers that are still on their way when it is stopped.
+  std::unique_lock<std::mutex> lock(this->mutex);
+  this->closed.wait_for(lock, internal::kSendBound, [this, &open] {
+    return std::none_of(open.begin(), open.end(),
+                        [this](ExchangeId id) { return this->exchanges.count(id) != 0; });
+  });
 }
 
 MHD_Result HttpServer::State::OnAccess(void* self, MHD_Connection* connection, const char* path,
@@ -257,16 +284,15 @@
   std::vector<ExchangeId> open;
   {
     const std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->stopping = true;
     for (const auto& [id, exchange] : this->state->exchanges) {
       open.push_back(id);
     }
   }
   for (const ExchangeId id : open) {
-    ServedAnswer answer;
-    answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
-    answer.body = R"({"error":"stopping"})";
-    this->Answer(id, answer);
+    this->Answer(id, internal::Stopping());
   }
+  this->state->WaitUntilClosed(open);
   MHD_stop_daemon(this->state->daemon);
   this->state->daemon = nullptr;
 }
--- a/pistachio/process/daemon/control_messages.cc
+++ b/pistachio/process/daemon/control_messages.cc
@@ -6,7 +6,9 @@
 
 namespace internal {
 
-constexpr Duration kRefreshEvery = std::chrono::seconds(5);
+constexpr Duration kRoomRefreshEvery = std::chrono::seconds(5);
+constexpr Duration kRoutesRefreshEvery = std::chrono::seconds(30);
+constexpr Duration kServicesRefreshEvery = std::chrono::seconds(30);
 
 bool SameRoom(const RackRoom& a, const RackRoom& b) {
   return a.free == b.free && a.capacity == b.capacity && a.preemptible == b.preemptible;
@@ -164,7 +166,7 @@
     publication.routes.services = std::move(services);
     this->routes.Update(publication.routes);
   }
-  if (changed || this->now - publication.routes_told >= internal::kRefreshEvery) {
+  if (changed || this->now - publication.routes_told >= internal::kRoutesRefreshEvery) {
     publication.routes_told = this->now;
     this->Broadcast(publication.routes);
   }
@@ -180,7 +182,7 @@
     room.capacity.push_back(view.capacity);
   }
   const bool changed = !internal::SameRoom(room, publication.room);
-  if (!changed && this->now - publication.room_told < internal::kRefreshEvery) {
+  if (!changed && this->now - publication.room_told < internal::kRoomRefreshEvery) {
     return;
   }
   publication.room = room;
@@ -202,7 +204,17 @@
 }
 
 void ControlState::TellRemoteServices() {
+  // One host speaks for its data centre, and only when there is news: told by every host at every
+  // publication, the list alone would be most of what entry hosts send.
+  const auto speaker = this->membership.OwnerOf(UnitOfQueue(0));
   const PeerCentreServices services{this->config.data_centre, this->routes.services()};
+  const bool due = services.services != this->told_services ||
+                   this->now - this->services_told >= internal::kServicesRefreshEvery;
+  if (!due || !speaker || *speaker != this->config.self.host) {
+    return;
+  }
+  this->told_services = services.services;
+  this->services_told = this->now;
   for (const auto& [host, data_centre] : this->config.remote_peers) {
     this->ports.send_peer(host, services);
   }
--- a/pistachio/process/daemon/control_settings.cc
+++ b/pistachio/process/daemon/control_settings.cc
@@ -91,7 +91,7 @@
     }
   }
   for (const auto& [host, data_centre] : this->config.remote_peers) {
-    if (is_heard(host)) {
+    if (this->open_links.count(host) != 0) {
       members.remote[data_centre].push_back(host);
     }
   }
--- a/pistachio/process/daemon/control_state.cc
+++ b/pistachio/process/daemon/control_state.cc
@@ -84,7 +84,12 @@
 void ControlState::On(const PeerLinkChanged& event) {
   this->Report({event.open ? EventCode::kPeerConnected : EventCode::kPeerLost,
                 {{"peer", event.peer.str()}}});
+  if (!event.open) {
+    this->open_links.erase(event.peer);
+  }
   if (event.open) {
+    this->open_links.insert(event.peer);
+    this->services_told = TimePoint{};
     // A peer that was away gets everything again at the next publication.
     for (auto& [unit, publication] : this->publications) {
       publication.routes_told = TimePoint{};
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -198,6 +198,9 @@
   std::map<HostId, TimePoint> last_heard;
   std::uint64_t next_call = 1;
   ControlCounters counts;
+  std::set<HostId> open_links;  ///< peers that this host has a connection to
+  std::vector<ServiceId> told_services;
+  TimePoint services_told{};
   TimePoint told_act_until{};
   TimePoint next_publication{};
   TimePoint next_standings_read{};
--- a/pistachio/process/daemon/daemon.cc
+++ b/pistachio/process/daemon/daemon.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kControlTick = std::chrono::milliseconds(100);
 constexpr Duration kTrafficTick = std::chrono::milliseconds(2);
+constexpr Duration kIdleTick = std::chrono::milliseconds(50);
 constexpr Duration kFetchHostsEvery = std::chrono::seconds(1);
 constexpr Duration kLeaveBound = std::chrono::seconds(10);
 constexpr Duration kReadinessGrace = std::chrono::milliseconds(500);
@@ -126,6 +127,11 @@
     this->callers->Answer(exchange, answer);
   };
   ports.report = [](const EventRecord& event) { WriteEvent(event); };
+  ports.wake = [this] {
+    if (this->idle.exchange(false)) {
+      this->changed.notify_all();
+    }
+  };
   return ports;
 }
 
@@ -172,8 +178,9 @@
       next_fetch = now + internal::kFetchHostsEvery;
       this->FetchHosts();
     }
+    this->idle = !this->traffic->busy();
     lock.lock();
-    this->changed.wait_for(lock, internal::kTrafficTick);
+    this->changed.wait_for(lock, this->idle ? internal::kIdleTick : internal::kTrafficTick);
   }
 }
 
--- a/pistachio/process/daemon/daemon_state.h
+++ b/pistachio/process/daemon/daemon_state.h
@@ -57,6 +57,7 @@
   std::vector<OperatorToken> tokens;
   std::atomic<bool> ready{false};
   std::atomic<bool> stopping{false};
+  std::atomic<bool> idle{false};  ///< no request is in hand, so timers may wait longer
   std::shared_ptr<prometheus::Registry> registry;
   TrafficMetrics traffic_metrics;
   ControlMetrics control_metrics;
--- a/pistachio/process/daemon/traffic_plane.cc
+++ b/pistachio/process/daemon/traffic_plane.cc
@@ -172,6 +172,7 @@
     }
   }
   this->CarryOut(effects);
+  this->ports.wake();
 }
 
 void TrafficPlane::PassToHome(const ForwardToHome& home, const RequestSpec& spec,
@@ -394,6 +395,7 @@
     this->Admit(spec, waiter, forward.body, effects);
   }
   this->CarryOut(effects);
+  this->ports.wake();
 }
 
 void TrafficPlane::Take(const HostId& /*from*/, const PeerForwardAnswer& answer) {
@@ -483,6 +485,12 @@
   this->CarryOut(effects);
 }
 
+bool TrafficPlane::busy() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return !this->waiters.empty() || !this->passed_on.empty() ||
+         this->broker.attempts_in_flight() > 0;
+}
+
 std::vector<RequestId> TrafficPlane::open_requests() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<RequestId> open = this->broker.open_requests();
--- a/pistachio/process/daemon/traffic_plane.h
+++ b/pistachio/process/daemon/traffic_plane.h
@@ -37,6 +37,7 @@
   std::function<bool(const HostId&, const TrafficMessage&)> send_peer;
   std::function<void(ExchangeId, const ServedAnswer&)> answer;
   std::function<void(const EventRecord&)> report;
+  std::function<void()> wake;  ///< a request came in: Tick is wanted soon
 };
 
 namespace internal {
@@ -87,9 +88,13 @@
   void Take(const HostId& from, const PeerForward& forward);
   void Take(const HostId& from, const PeerForwardAnswer& answer);
 
-  /// \brief Lets deadlines, hedges and probes run; to be called every few milliseconds.
+  /// \brief Lets deadlines, hedges and probes run; to be called every few milliseconds while there
+  /// are requests in hand, and now and then without any.
   void Tick();
 
+  /// \returns whether requests are in hand.
+  bool busy() const;
+
   /// \brief Takes nothing new and finishes what is in hand.
   void BeginStop();
 
--- a/tests/platform/http_exchange_test.cc
+++ b/tests/platform/http_exchange_test.cc
@@ -204,6 +204,35 @@
   REQUIRE(result.body.empty());
 }
 
+TEST_CASE("a server that stops answers what is open and what still comes in", "[http]") {
+  constexpr int kCallers = 8;
+  std::atomic<int> held{0};
+  HttpServer server(HttpServerLimits{}, [&](const ServedRequest& /*request*/) { held++; });
+  const std::string url = "http://" + server.Listen(ListenAddress{})->str() + "/";
+  std::atomic<bool> stopped{false};
+  std::vector<std::thread> callers;
+  std::atomic<int> refused{0};
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      HttpClient client;
+      HttpCall call;
+      call.url = url;
+      while (!stopped) {
+        refused += client.SendAndWait(call).status == 503 ? 1 : 0;
+      }
+    });
+  }
+  while (held < kCallers) {
+    std::this_thread::yield();
+  }
+  server.Stop();
+  stopped = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  REQUIRE(refused >= kCallers);
+}
+
 TEST_CASE("a listen address is an IPv4 number and a port", "[http]") {
   REQUIRE(ParseListenAddress("127.0.0.1:80")->port == 80);
   for (const char* bad : {"", "localhost:1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000",
