--- a/bench/policy/place_cost.cc
+++ b/bench/policy/place_cost.cc
@@ -36,7 +36,7 @@
   return views;
 }
 
-// Every pair is measured once, so that the model is as large as it gets with these classes.
+// Every pair is learned once, so that the model is as large as it gets with these classes.
 void TeachAll(Policy& policy, const std::vector<TargetView>& views, TimePoint at) {
   for (const TargetView& view : views) {
     for (const Neighbour& neighbour : view.neighbours) {
--- a/pistachio/process/daemon/traffic_plane.cc
+++ b/pistachio/process/daemon/traffic_plane.cc
@@ -4,51 +4,15 @@
 
 #include "pistachio/process/daemon/operator_gather.h"
 #include "pistachio/request/outcome_reasons.h"
-#include "pistachio/request/status.h"
 
 namespace pistachio {
 
 namespace internal {
 
 constexpr int kCreated = 201;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
-constexpr char kServicePrefix[] = "/v1/services/";
-constexpr char kRequestSuffix[] = "/requests";
 constexpr char kCentrePrefix[] = "centre/";
 
-/// \returns the service named in `/v1/services/SERVICE/requests`, or nothing.
-std::optional<ServiceId> ServiceOfPath(const std::string& path) {
-  const std::string prefix = kServicePrefix;
-  const std::string suffix = kRequestSuffix;
-  const bool fits = path.size() > prefix.size() + suffix.size() && path.rfind(prefix, 0) == 0 &&
-                    path.compare(path.size() - suffix.size(), suffix.size(), suffix) == 0;
-  if (!fits) {
-    return std::nullopt;
-  }
-  return ServiceId(path.substr(prefix.size(), path.size() - prefix.size() - suffix.size()));
-}
-
-/// \returns the milliseconds in \a text, or nothing if it is not a whole number of them.
-std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& text) {
-  constexpr std::size_t kMostDigits = 9;
-  const bool digits =
-      !text.empty() && text.size() <= kMostDigits &&
-      std::all_of(text.begin(), text.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
-  if (!digits) {
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds(std::stoll(text));
-}
-
-ServedAnswer PlainAnswer(int status, const std::string& body) {
-  ServedAnswer answer;
-  answer.status = status;
-  answer.body = body;
-  return answer;
-}
-
 TargetId TargetOfCentre(const DataCentreId& data_centre) {
   return TargetId(kCentrePrefix + data_centre.str());
 }
@@ -96,64 +60,44 @@
 
 void TrafficPlane::Serve(const ServedRequest& request) {
   if (request.method != "POST") {
-    this->ports.answer(request.exchange,
-                       internal::PlainAnswer(internal::kMethodNotAllowed,
-                                             ErrorBody("only POST is served here", "use POST")));
+    this->ports.answer(
+        request.exchange,
+        JsonAnswer(internal::kMethodNotAllowed, ErrorBody("only POST is served here", "use POST")));
     return;
   }
   if (request.path == "/v1/request-ids") {
-    RequestId id;
-    {
-      const std::lock_guard<std::mutex> lock(this->mutex);
-      id = this->broker.IssueId(Now(this->clock));
-    }
-    this->ports.answer(request.exchange, internal::PlainAnswer(internal::kCreated,
-                                                               R"({"id":")" + id.str() + R"("})"));
+    const std::string id = this->IssueId().str();
+    this->ports.answer(request.exchange,
+                       JsonAnswer(internal::kCreated, R"({"id":")" + id + R"("})"));
     return;
   }
-  std::string problem;
-  const auto spec = this->ReadSpec(request, &problem);
-  if (!spec) {
-    const bool no_path = !internal::ServiceOfPath(request.path);
+  CallerRequestError error;
+  const auto read = ReadCallerRequest(request, &error);
+  if (!read) {
     this->ports.answer(request.exchange,
-                       internal::PlainAnswer(no_path ? internal::kNotFound : internal::kBadRequest,
-                                             ErrorBody(problem, "see docs/API.md")));
+                       JsonAnswer(error.status, ErrorBody(error.problem, "see docs/API.md")));
     return;
   }
-  const OutcomeWaiter waiter{HttpCaller{request.exchange}, spec->id, spec->service,
-                             spec->idempotent, Now(this->clock)};
-  this->Arrive(*spec, waiter, request.body);
+  const RequestSpec spec = this->SpecOf(*read);
+  const OutcomeWaiter waiter{HttpCaller{request.exchange}, spec.id, spec.service, spec.idempotent,
+                             Now(this->clock)};
+  this->Arrive(spec, waiter, request.body);
 }
 
-std::optional<RequestSpec> TrafficPlane::ReadSpec(const ServedRequest& request,
-                                                  std::string* problem) {
-  RequestSpec spec;
-  const auto service = internal::ServiceOfPath(request.path);
-  if (!service) {
-    *problem = "no such path";
-    return std::nullopt;
-  }
-  const std::string timeout_text = request.Header("x-timeout-ms");
-  const auto timeout = timeout_text.empty() ? std::optional<Duration>(this->config.default_timeout)
-                                            : internal::ReadMilliseconds(timeout_text);
-  const std::string idempotent = request.Header("x-idempotent");
-  if (!timeout || (!idempotent.empty() && idempotent != "true" && idempotent != "false")) {
-    *problem = timeout ? "X-Idempotent takes true or false" : "X-Timeout-Ms takes milliseconds";
-    return std::nullopt;
-  }
-  spec.service = *service;
-  spec.caller = CallerId(request.Header("x-caller"));
-  spec.deadline = Now(this->clock) + std::min(*timeout, this->config.limits.max_deadline);
-  spec.idempotent = idempotent == "true";
-  const std::string id_text = request.Header("x-request-id");
-  const auto id = ParseRequestId(id_text);
-  if (!id_text.empty() && !id) {
-    *problem = "X-Request-Id takes an id from POST /v1/request-ids";
-    return std::nullopt;
-  }
-  spec.first_use = !id;
+RequestId TrafficPlane::IssueId() {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  spec.id = id ? *id : this->broker.IssueId(Now(this->clock));
+  return this->broker.IssueId(Now(this->clock));
+}
+
+RequestSpec TrafficPlane::SpecOf(const CallerRequest& read) {
+  const Duration timeout = read.timeout.value_or(this->config.default_timeout);
+  RequestSpec spec;
+  spec.service = read.service;
+  spec.caller = read.caller;
+  spec.idempotent = read.idempotent;
+  spec.deadline = Now(this->clock) + std::min(timeout, this->config.limits.max_deadline);
+  spec.first_use = !read.id;
+  spec.id = read.id ? *read.id : this->IssueId();
   return spec;
 }
 
@@ -363,16 +307,10 @@
     return;
   }
   const bool answered = telling.outcome.kind == OutcomeKind::kAnswered;
-  ServedAnswer answer;
-  answer.status = answered ? telling.status : HttpStatusOf(telling.outcome, waiter.idempotent);
-  answer.headers = {{"X-Request-Id", waiter.id.str()}, {"X-Outcome", NameOf(telling.outcome.kind)}};
-  const auto retry_after = RetryAfterOf(telling.outcome);
-  if (retry_after.count() > 0) {
-    answer.headers.emplace_back("Retry-After", std::to_string(retry_after.count()));
-  }
-  answer.body = answered ? telling.body
-                         : R"({"outcome":")" + std::string(NameOf(telling.outcome.kind)) +
-                               R"(","reason":")" + telling.outcome.reason + R"("})";
+  ServedAnswer answer = answered ? JsonAnswer(telling.status, telling.body)
+                                 : AnswerOfOutcome(telling.outcome, waiter.idempotent);
+  answer.headers.emplace_back("X-Request-Id", waiter.id.str());
+  answer.headers.emplace_back("X-Outcome", NameOf(telling.outcome.kind));
   this->ports.answer(std::get<HttpCaller>(waiter.caller).exchange, answer);
 }
 
--- a/pistachio/process/daemon/traffic_plane.h
+++ b/pistachio/process/daemon/traffic_plane.h
@@ -14,6 +14,7 @@
 #include "pistachio/connection/platform/http_client.h"
 #include "pistachio/connection/platform/http_types.h"
 #include "pistachio/connection/platform/target_client.h"
+#include "pistachio/process/daemon/caller_request.h"
 #include "pistachio/process/daemon/control_types.h"
 #include "pistachio/process/daemon/traffic_metrics.h"
 #include "pistachio/request/broker.h"
@@ -137,7 +138,8 @@
     std::vector<EventRecord> events;
   };
 
-  std::optional<RequestSpec> ReadSpec(const ServedRequest& request, std::string* problem);
+  RequestId IssueId();
+  RequestSpec SpecOf(const CallerRequest& read);
   void Arrive(const RequestSpec& spec, const OutcomeWaiter& waiter, const std::string& body);
   void PassToHome(const ForwardToHome& home, const RequestSpec& spec, const OutcomeWaiter& waiter,
                   const std::string& body, Effects& effects);
--- a/tests/daemon/control_state_test.cc
+++ b/tests/daemon/control_state_test.cc
@@ -56,6 +56,9 @@
   void Kill(const std::string& host) { this->hosts.erase(HostId(host)); }
   void Stop(const std::string& host) { this->Post(HostId(host), StopRequested{}); }
   void SetStoreFault(StoreFault fault) { this->fault = fault; }
+  void WriteStore(const std::string& key, const std::string& value) {
+    this->store.Call(CompareAndSwapCall{key, 0, value});
+  }
   bool HasLeft(const std::string& host) const { return this->left.count(HostId(host)) != 0; }
   std::size_t OwnedBy(const std::string& host) {
     return this->hosts.at(HostId(host)).owned_units();
@@ -180,6 +183,9 @@
   centre.Kill("b");
   centre.Run(std::chrono::minutes(4));
   REQUIRE(centre.Finished("nightly") == 20);
+  centre.Call("a", "GET", "/v1/jobs/nightly", "");
+  centre.Run(std::chrono::seconds(5));
+  REQUIRE(DecodeBody<JobRow>(centre.answers.back().second)->finished == 20);
   REQUIRE(centre.OwnedBy("a") == 3);
 }
 
@@ -208,6 +214,16 @@
   REQUIRE(centre.Finished("nightly") == kTasks);
 }
 
+TEST_CASE("a job of the same name from another data centre is refused", "[control]") {
+  Centre centre({"a", "b"});
+  centre.WriteStore("job-home/nightly", "hawkes");
+  Submit(centre, 3);
+  REQUIRE(centre.answers.size() == 2);
+  CHECK(centre.answers.at(1).first == 409);
+  centre.Run(std::chrono::minutes(1));
+  REQUIRE(centre.Finished("nightly") == 0);
+}
+
 TEST_CASE("a job of an unknown team is refused", "[control]") {
   Centre centre({"a", "b"});
   centre.Run(std::chrono::seconds(10));
--- a/tests/tasks/world.cc
+++ b/tests/tasks/world.cc
@@ -41,24 +41,6 @@
 
 }  // namespace
 
-const char* NameOf(Step step) {
-  static const char* const kNames[kStepCount] = {
-      "queue write",       "rack write", "assignment",      "confirmation",
-      "withdrawal",        "tell end",   "acknowledge end", "start",
-      "start answer",      "renew",      "renew answer",    "checkpoint",
-      "checkpoint answer", "stop",       "stop answer",     "forget",
-      "forget answer"};
-  return kNames[static_cast<int>(step)];
-}
-
-const char* NameOf(Fault fault) {
-  static const char* const kNames[kFaultCount] = {
-      "none",          "lost before", "lost after",  "duplicated", "delayed past the lease",
-      "holder paused", "holder dead", "target dead", "target cut", "service down",
-      "holder cut off"};
-  return kNames[static_cast<int>(fault)];
-}
-
 JobSpec BatchJob(const std::string& name, std::uint32_t count, Duration run,
                  std::int64_t cpu_millis) {
   JobSpec spec;
