--- a/pistachio/connection/store/cbor.h
+++ b/pistachio/connection/store/cbor.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "pistachio/process/runtime/bounded_json.h"
+
 namespace pistachio::internal {
 
 /// \returns \a json as CBOR bytes.
@@ -20,13 +22,12 @@
 template <class Convert>
 auto FromCbor(const std::string& value, Convert convert)
     -> std::optional<decltype(convert(std::declval<nlohmann::json>()))> {
-  const nlohmann::json json =
-      nlohmann::json::from_cbor(value, /*strict=*/true, /*allow_exceptions=*/false);
-  if (!json.is_object()) {
+  const auto json = ReadBoundedCbor<nlohmann::json>(value);
+  if (!json || !json->is_object()) {
     return std::nullopt;
   }
   try {
-    return convert(json);
+    return convert(*json);
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/pistachio/process/tasks/internal/record_codec.cc
+++ b/pistachio/process/tasks/internal/record_codec.cc
@@ -1,5 +1,7 @@
 #include "pistachio/process/tasks/internal/record_codec.h"
 
+#include "pistachio/process/runtime/bounded_json.h"
+
 namespace pistachio::internal {
 
 using Json = nlohmann::json;
@@ -109,8 +111,8 @@
     reason = "unknown record version";
     return std::nullopt;
   }
-  Json value = Json::from_cbor(bytes.begin() + 1, bytes.end(), true, false);
-  if (!value.is_array() || value.empty()) {
+  auto value = ReadBoundedCbor<Json>(bytes.substr(1));
+  if (!value || !value->is_array() || value->empty()) {
     reason = "damaged record";
     return std::nullopt;
   }
--- a/tests/codec/bounded_reading_test.cc
+++ b/tests/codec/bounded_reading_test.cc
@@ -16,6 +16,12 @@
   REQUIRE_FALSE(ReadCbor("\xff"));
 }
 
+TEST_CASE("CBOR that says it holds more than it does is refused", "[codec]") {
+  // A map of 14 * 10^18 entries, as the fuzzer wrote it.
+  REQUIRE_FALSE(ReadCbor("\xbb\xc2\xc2\xff\xc2\x39\x49\x70\x08"));
+  REQUIRE_FALSE(ReadCbor("\x9b\xff\xff\xff\xff\xff\xff\xff\xf0"));
+}
+
 TEST_CASE("a value with a missing, mistyped or out-of-range field is refused", "[codec]") {
   WireJson spec = JobSpec{};
   REQUIRE(FromJson<JobSpec>(spec));
