Linter clean; g++'s false alarm under the sanitizers is off there only

Change: as the linter asks; the warning is off in sanitizer builds with g++. Conclusion: release builds keep the warning.

--- a/cmake/pistachio.cmake
+++ b/cmake/pistachio.cmake
@@ -8,6 +8,10 @@
 if(PISTACHIO_SANITIZE)
   target_compile_options(pistachio_options INTERFACE
     -fsanitize=${PISTACHIO_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer -g1)
+  if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+    # g++ takes the sanitizer's own checks for reads of uninitialised members.
+    target_compile_options(pistachio_options INTERFACE -Wno-maybe-uninitialized)
+  endif()
   target_link_options(pistachio_options INTERFACE -fsanitize=${PISTACHIO_SANITIZE})
   if(PISTACHIO_SANITIZE STREQUAL "thread")
     # The thread sanitizer does not know fences, and the queues of asio are locked besides.
--- a/tests/platform/http_exchange_test.cc
+++ b/tests/platform/http_exchange_test.cc
@@ -211,6 +211,7 @@
   const std::string url = "http://" + server.Listen(ListenAddress{})->str() + "/";
   std::atomic<bool> stopped{false};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> refused{0};
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
