Task metrics that nothing counted are gone

Cause: four kinds of pistachio_tasks were exported and never counted, so they said 0 whatever happened. Change: they are left out until ends are counted at the racks.

--- a/pistachio/process/daemon/control_metrics.cc
+++ b/pistachio/process/daemon/control_metrics.cc
@@ -34,7 +34,7 @@
       peers(MakeFamily(registry, "pistachio_peer_traffic",
                        "Messages and bytes between entry hosts, by kind.")),
       tasks(MakeFamily(registry, "pistachio_tasks",
-                       "Task attempts by their end, commands and assignments, by kind.")),
+                       "Commands to targets, assignments to racks and units owned, by kind.")),
       process(MakeFamily(registry, "pistachio_process",
                          "Processor seconds and memory bytes of this process, by kind.")) {}
 
@@ -73,10 +73,6 @@
 
 void ControlMetrics::Set(const ControlCounters& counters, std::size_t owned_units,
                          bool store_reachable) {
-  SetKind(this->tasks, "finished", static_cast<double>(counters.finished));
-  SetKind(this->tasks, "failed", static_cast<double>(counters.failed));
-  SetKind(this->tasks, "evicted", static_cast<double>(counters.evicted));
-  SetKind(this->tasks, "lost", static_cast<double>(counters.lost));
   SetKind(this->tasks, "commands", static_cast<double>(counters.commands));
   SetKind(this->tasks, "assignments", static_cast<double>(counters.assignments));
   SetKind(this->tasks, "owned_units", static_cast<double>(owned_units));
--- a/pistachio/process/daemon/control_state.h
+++ b/pistachio/process/daemon/control_state.h
@@ -19,12 +19,8 @@
 
 namespace pistachio {
 
-/// \brief What an entry host counts about tasks, for metrics and the operators' summary.
+/// \brief What an entry host counts about tasks, for metrics.
 struct ControlCounters {
-  std::uint64_t finished = 0;  ///< attempts ended with their task's end, at racks owned here
-  std::uint64_t failed = 0;
-  std::uint64_t evicted = 0;
-  std::uint64_t lost = 0;
   std::uint64_t commands = 0;
   std::uint64_t assignments = 0;
 };
