Log how long a task has been without a run, and runs that cannot leave a draining target

The logs had only the time of the requeue. Change: task-requeued and task-assigned give the time since the run was last known to exist (the target's last answer if its lease expired), cell-load counts the long-running tasks without a run with the longest such time, target-listed gives the runs, and evacuation-waits says that a run finds no other target. A task requeued after a refused start keeps the time of its earlier run. No decision changes.

--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -59,6 +59,7 @@
   kTargetUnreadable = 3208,
   kCellLoad = 3209,
   kTargetRestarted = 3210,
+  kEvacuationWaits = 3211,
 
   // 4000: requests (events/request_events.cc)
   kCallerAnswered = 4101,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -26,7 +26,8 @@
        "A run makes no progress or is far too slow and is started again elsewhere. Check the "
        "target if the event repeats."},
       {EventCode::kTaskRequeued, Severity::kInfo, "task-requeued",
-       "A task waits for its next run; the cause says how the last one ended."},
+       "A task waits for its next run; the cause says how the last one ended, without-run-ms how "
+       "long ago the run was last known to exist."},
       {EventCode::kSubmissionCancelled, Severity::kInfo, "submission-cancelled",
        "The owner has read the caller's request to cancel a submission and stops what still runs "
        "of it."},
@@ -65,10 +66,14 @@
        "A target's registration cannot be read; the target gets no work."},
       {EventCode::kCellLoad, Severity::kInfo, "cell-load",
        "Resources that a cell's targets have and use, and what its waiting tasks need, in "
-       "thousandths of a core, every 2 s."},
+       "thousandths of a core, every 2 s; also how many long-running tasks lost their run, and the "
+       "longest time that one of them has been without a run."},
       {EventCode::kTargetRestarted, Severity::kWarning, "target-reborn",
        "A target restarted under the same id; starts without an answer may have been carried out "
        "by the new incarnation, so its list of runs is searched for them."},
+      {EventCode::kEvacuationWaits, Severity::kInfo, "evacuation-waits",
+       "A run has to leave a draining target before the target exits, but no other target has room "
+       "for it; logged once for each target that drains."},
   };
   return kEvents;
 }
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -60,6 +60,9 @@
       for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
         Task& task = occurrence.steps[step].tasks[index];
         if (!task.HoldsResources()) {
+          if (task.phase == TaskPhase::kWaiting && task.run > 0) {
+            task.last_run_seen_at = TimePoint{};
+          }
           continue;
         }
         this->RecoverTask(&loaded_submission, TaskKey{id, number, step, index}, &task, now);
@@ -209,6 +212,7 @@
     const bool is_best_effort = pending_step.submission->Step(pending_step.step).best_effort;
     (is_best_effort ? waiting_best_effort : waiting) += pending_step.sort_key.waiting_cpu;
   }
+  const TasksWithoutRun without_run = this->CountTasksWithoutRun(now);
   const auto to_text = [](auto number) { return std::to_string(number); };
   this->Log(EventCode::kCellLoad, {{"cell", this->cell_id.str()},
                                    {"targets", to_text(this->targets.size())},
@@ -221,9 +225,34 @@
                                    {"filling-m", to_text(best_effort_cpu)},
                                    {"waiting-m", to_text(waiting)},
                                    {"waiting-fill-m", to_text(waiting_best_effort)},
+                                   {"without-run", to_text(without_run.count)},
+                                   {"without-run-ms", MillisecondsText(without_run.longest)},
                                    {"open", to_text(this->open_submissions.size())}});
 }
 
+Cell::TasksWithoutRun Cell::CountTasksWithoutRun(TimePoint now) const {
+  TasksWithoutRun result;
+  for (const SubmissionId& id : this->open_submissions) {
+    const Submission& submission = this->all_submissions.at(id);
+    for (const auto& [number, occurrence] : submission.occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const StepProgress& progress = occurrence.steps[step];
+        if (progress.waiting == 0 || !submission.Step(step).long_running) {
+          continue;
+        }
+        for (const Task& task : progress.tasks) {
+          if (task.phase == TaskPhase::kWaiting && task.last_run_seen_at) {
+            const TimePoint since = std::max(*task.last_run_seen_at, this->acquired_at);
+            result.count++;
+            result.longest = std::max(result.longest, now - since);
+          }
+        }
+      }
+    }
+  }
+  return result;
+}
+
 std::optional<CommitBatch> Cell::NextCommit(TimePoint now) {
   const Duration interval = this->commit_urgent ? this->settings.urgent_commit_interval
                                                 : this->settings.lazy_commit_interval;
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -136,6 +136,13 @@
 
   /// \returns the submissions that may move to another cell, the most urgent first.
   std::vector<Submission*> MovableSubmissions(TimePoint now);
+  /// Number of long-running tasks that lost their run and wait for the next one, and the longest
+  /// time that one of them has been without a run.
+  struct TasksWithoutRun {
+    std::size_t count = 0;
+    Duration longest{0};
+  };
+  TasksWithoutRun CountTasksWithoutRun(TimePoint now) const;
   /// Logs the load of the cell at a fixed interval.
   void LogLoad(TimePoint now);
 
@@ -220,8 +227,9 @@
   /// Sets a task to `kStopping`; `SendDueOrders` sends the stop.
   void BeginStop(const TaskKey& key, Task* task, StopReason reason, TimePoint now);
   /// Releases the resources of a task and lets the task wait for its next run.
+  /// \param last_seen_at when the ended run was last known to exist, if it ended before \a now
   void Requeue(Submission* submission, const TaskKey& key, Task* task, const char* cause,
-               TimePoint now);
+               TimePoint now, std::optional<TimePoint> last_seen_at = std::nullopt);
   void ReleaseResources(Submission* submission, const TaskKey& key, Task* task);
   /// Stops or requeues all tasks of a gang after one of them has ended.
   void StopGang(Submission* submission, const TaskKey& key, TimePoint now);
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -295,8 +295,17 @@
           spec.estimate * (kFullPercent - task->percent) / kFullPercent);
       const bool ends_in_time = !spec.long_running && remaining_work < time_left;
       // If the task fits on no other target, the run continues until the target leaves.
-      if (!ends_in_time && this->ChooseTarget(*submission, key, *task, now) != nullptr) {
+      if (ends_in_time) {
+        continue;
+      }
+      if (this->ChooseTarget(*submission, key, *task, now) != nullptr) {
         this->BeginStop(key, task, StopReason::kMoved, now);
+      } else if (!target.evacuation_wait_logged) {
+        target.evacuation_wait_logged = true;
+        this->Log(EventCode::kEvacuationWaits, {{"cell", this->cell_id.str()},
+                                                {"target", id.str()},
+                                                {"task", key.str()},
+                                                {"drain-left-ms", MillisecondsText(time_left)}});
       }
     }
   }
@@ -329,6 +338,10 @@
        {"target", target->entry.id.str()},
        {"born", std::to_string(target->incarnation)},
        {"waited-ms", std::to_string((this->wall_time - submission->accepted.accepted_at).count())},
+       {"without-run-ms",
+        task->last_run_seen_at
+            ? MillisecondsText(now - std::max(*task->last_run_seen_at, this->acquired_at))
+            : ""},
        {"cpu-used", std::to_string(target->load.used.cpu_millis)},
        {"fill-cpu", std::to_string(target->load.best_effort_cpu)}});
 }
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -23,6 +23,7 @@
   }
   if (entry.state == TargetState::kDraining && was_state != entry.state) {
     target.draining_since = now;
+    target.evacuation_wait_logged = false;
   }
   if (!was_registered || was_state != entry.state) {
     this->Log(EventCode::kTargetListed,
@@ -30,6 +31,7 @@
                {"target", entry.id.str()},
                {"born", std::to_string(entry.incarnation)},
                {"state", entry.state == TargetState::kReady ? "ready" : "draining"},
+               {"runs", std::to_string(target.tasks.size())},
                {"drain-left-ms", std::to_string(entry.drain_remaining.count())}});
   }
   this->schedule_due = true;
@@ -110,9 +112,10 @@
                                          {"born", std::to_string(target->incarnation)},
                                          {"runs", std::to_string(target->tasks.size())},
                                          {"cause", cause}});
+  const TimePoint last_seen_at = std::max(target->clock_at, this->acquired_at);
   for (const TaskKey& key : std::set<TaskKey>(target->tasks)) {
     Submission* submission = this->FindSubmission(key.submission);
-    this->Requeue(submission, key, submission->FindTask(key), cause, now);
+    this->Requeue(submission, key, submission->FindTask(key), cause, now, last_seen_at);
     this->EndIfFinished(submission);
   }
 }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -272,22 +272,29 @@
 }
 
 void Cell::Requeue(Submission* submission, const TaskKey& key, Task* task, const char* cause,
-                   TimePoint now) {
+                   TimePoint now, std::optional<TimePoint> last_seen_at) {
   if (!task->HoldsResources()) {
     return;
   }
+  // An assignment without a start, or a refused start, is no run.
+  const bool had_run = task->phase == TaskPhase::kRunning || task->phase == TaskPhase::kStopping;
+  const TimePoint seen_at = last_seen_at.value_or(now);
+  const TimePoint last_run_seen_at = had_run ? seen_at : task->last_run_seen_at.value_or(seen_at);
   this->ReleaseResources(submission, key, task);
-  this->Log(EventCode::kTaskRequeued, {{"task", key.str()},
-                                       {"run", std::to_string(task->run)},
-                                       {"target", task->incarnation.target.str()},
-                                       {"phase", NameOf(task->phase)},
-                                       {"cause", cause}});
+  this->Log(EventCode::kTaskRequeued,
+            {{"task", key.str()},
+             {"run", std::to_string(task->run)},
+             {"target", task->incarnation.target.str()},
+             {"phase", NameOf(task->phase)},
+             {"cause", cause},
+             {"without-run-ms", MillisecondsText(now - last_run_seen_at)}});
   const bool avoid_current = task->phase != TaskPhase::kAssigned;
   Task waiting;
   waiting.run = task->run;
   waiting.failures = task->failures;
   waiting.checkpoint = task->checkpoint;
   waiting.phase_since = now;
+  waiting.last_run_seen_at = last_run_seen_at;
   waiting.avoid_target = avoid_current ? task->incarnation.target : task->avoid_target;
   *task = waiting;
   submission->occurrences.at(key.occurrence).steps[key.step].waiting++;
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -173,7 +173,8 @@
   /// Reported runs that no task of the cell accounts for, with the earliest time of the next stop.
   std::map<TaskKey, TimePoint> orphaned_runs;
   TargetHealth health;
-  TimePoint draining_since{};    ///< when the registration changed to draining
+  TimePoint draining_since{};           ///< when the registration changed to draining
+  bool evacuation_wait_logged = false;  ///< `kEvacuationWaits` was logged for this drain
   TimePoint over_bound_since{};  ///< start of a tail's excess over its bound; the epoch if none
   TimePoint next_sample_at{};    ///< earliest time of the next sample for the interference model
 
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -59,7 +59,10 @@
 
   // The fields below are not stored. A new owner of the cell gets them from the target's replies.
   StopReason stop_reason = StopReason::kNone;
-  TimePoint phase_since{};       ///< when the phase began
+  TimePoint phase_since{};  ///< when the phase began
+  /// When the last run was last known to exist; unset while the task never had a run. The epoch if
+  /// the run ended under an earlier owner.
+  std::optional<TimePoint> last_run_seen_at;
   TimePoint retry_at{};          ///< earliest time of the next order about the run
   std::uint32_t sends = 0;       ///< number of times the order of this phase was sent
   bool order_in_flight = false;  ///< an order of this phase has no reply yet
--- a/pistachio/process/scheduling/types.cc
+++ b/pistachio/process/scheduling/types.cc
@@ -26,6 +26,10 @@
 
 }  // namespace internal
 
+std::string MillisecondsText(Duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 std::string TaskKey::str() const {
   return this->submission.str() + "." + std::to_string(this->occurrence) + "." +
          std::to_string(this->step) + "." + std::to_string(this->index);
--- a/pistachio/process/scheduling/types.h
+++ b/pistachio/process/scheduling/types.h
@@ -209,6 +209,9 @@
 /// \returns the name of \a status in logs.
 const char* NameOf(OrderStatus status);
 
+/// \returns a time in whole milliseconds, as logs contain it.
+std::string MillisecondsText(Duration time);
+
 /// \brief Reply to a start, a stop or a pace order.
 struct OrderReply {
   OrderStatus status = OrderStatus::kNoAnswer;
