Count the time without a run from the last sign of the run, not from its requeue

Cause: a long-running task came before other work 1.5 s after its requeue. After the exit of a target, the requeue itself comes only with the expiry of the lease, up to 7.8 s after the last answer, and each refused start began the 1.5 s anew. Change: the time counts from when the run was last known to exist. Why it works: when a lease has expired, the task has been without a run for longer than any useful delay, so it is placed in the next round.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -262,8 +262,8 @@
   void MoveRunsOffDrainingTargets(TimePoint now);
   /// \returns the pending steps of all submissions, in the order in which to schedule them.
   std::vector<PendingStep> CollectPendingSteps(TimePoint now);
-  /// \returns true if a task of a long-running step has waited for `CellSettings::starved_after`
-  ///   since it lost its run.
+  /// \returns true if a task of a long-running step has been without a run for
+  ///   `CellSettings::starved_after`.
   bool IsStarved(const StepSpec& spec, const StepProgress& progress, TimePoint now) const;
   /// Reserves for a starved step the suitable target with the most free processors.
   void ReserveTarget(const PendingStep& pending, TimePoint now);
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -32,8 +32,8 @@
 bool Cell::IsStarved(const StepSpec& spec, const StepProgress& progress, TimePoint now) const {
   return spec.long_running &&
          std::any_of(progress.tasks.begin(), progress.tasks.end(), [&](const Task& task) {
-           return task.phase == TaskPhase::kWaiting && task.run > 0 &&
-                  now - task.phase_since >= this->settings.starved_after;
+           return task.phase == TaskPhase::kWaiting && task.last_run_seen_at &&
+                  now - *task.last_run_seen_at >= this->settings.starved_after;
          });
 }
 
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -74,9 +74,9 @@
   Duration max_commit_time = std::chrono::seconds(3);
   /// Time that a target may take to stop a run. After it, the stop is sent again.
   std::chrono::milliseconds stop_timeout{1000};
-  /// Time after which a long-running task that lost its run is scheduled before all other work. The
-  /// task has to run again about 6 s after its last run, and short tasks take a second or two to
-  /// end and free their resources.
+  /// Time without a run after which a long-running task is scheduled before all other work. The time
+  /// counts from when the last run was last known to exist. The task has to run again about 6 s
+  /// after its last run, and short tasks take a second or two to end and free their resources.
   Duration starved_after = std::chrono::milliseconds(1500);
   /// Time for which the state of an ended submission stays available to callers.
   std::chrono::milliseconds ended_retention{120000};
