Extend the leases of runs on draining targets by 4 s only

Cause: the owner learns of the end of runs on a target that exits only by the expiry of their lease, which it extended by 7.5 s as on any other target. Change: leases on draining targets are extended by 4 s. The bound that an owner keeps for the leases of a target is unchanged, as is the one that a new owner assumes, so no run can be taken for ended sooner than its target ends it. Why it works: a target that drains will exit; its runs are to move, and lose little if an outage of over 4 s ends them.

--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -147,8 +147,11 @@
   if (!target->clock || !may_extend) {
     return std::nullopt;
   }
+  const bool draining = target->entry.state == TargetState::kDraining;
+  const Duration duration =
+      draining ? this->settings.draining_lease_duration : this->settings.lease_duration;
   const TargetTime deadline = EstimateClock(*target, now, this->settings.clock_drift) +
-                              std::chrono::duration_cast<TargetTime>(this->settings.lease_duration);
+                              std::chrono::duration_cast<TargetTime>(duration);
   const double drift = 1.0 + this->settings.clock_drift;
   const Duration ahead = deadline - *target->clock;
   target->lease_expires_at =
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -25,6 +25,10 @@
   /// longer than the takeover of a cell (2 s). On the other hand, the tasks of a lost target start
   /// elsewhere only after the lease has expired.
   Duration lease_duration = std::chrono::milliseconds(7500);
+  /// Replaces `lease_duration` on a draining target. Its long-running tasks that could not leave it
+  /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
+  /// ended. It still exceeds the takeover of a cell.
+  Duration draining_lease_duration = std::chrono::milliseconds(4000);
   /// Longest time for which a target may delay the answer to a hold until a run ends. The platform
   /// accepts up to 2 s.
   std::chrono::milliseconds long_poll{1000};
