Keep starts from moving the lease of a silent target ahead

Callers would see: a long-running task of a crashed target without a run for 9.3 s, where LOST begins at 9 s. Cause: each start, also one sent again without an answer, set the end of the target's lease anew. Starts to a crashed target, which is found silent after up to 1.7 s, so moved the bound after which its runs count as ended. Change: a start carries the present end of the lease if 4 s of it are left or if it is sent again. Holds go on extending the leases of targets that answer. An owner that the store has not confirmed still sends no start. Why it works: after the crash, no order that the target can have received sets a later end than the last hold before it.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -176,6 +176,14 @@
   /// Computes a new end of a target's lease and moves `lease_expires_at` accordingly.
   /// \returns nothing if the target's clock is unknown or the store has not answered for too long.
   std::optional<TargetTime> ExtendLease(Target* target, TimePoint now);
+  /// \returns the end of the lease for the start of a run: the present one if enough of it is left
+  /// or
+  ///   \a resent is set, else that of `ExtendLease`.
+  std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
+  /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
+  bool MayExtendLeases(TimePoint now) const;
+  /// Discards what is known of a target's clock, which starts anew in each incarnation.
+  static void ForgetClock(Target* target);
   /// Stores a reading of a target's clock unless a later one is known.
   void UpdateClock(Target* target, const std::optional<TargetTime>& clock, TimePoint now);
   /// Adds a task to a target's load (\a sign 1) or removes it (\a sign -1).
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -19,7 +19,7 @@
   }
   if (reply.status == OrderStatus::kWrongInstance) {
     this->RequeueLostRuns(target, now, "restarted");
-    target->clock.reset();
+    ForgetClock(target);
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
   }
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -87,7 +87,7 @@
                                           {"cause", cause},
                                           {"open-starts", std::to_string(target->tasks.size())}});
   target->incarnation = incarnation;
-  target->clock.reset();
+  ForgetClock(target);
   target->reconciled = false;
   target->last_seen_end = 0;
   target->last_durable_end = 0;
@@ -142,9 +142,7 @@
 }
 
 std::optional<TargetTime> Cell::ExtendLease(Target* target, TimePoint now) {
-  const bool may_extend =
-      now - this->ownership_confirmed_at < this->settings.store_outage_tolerance;
-  if (!target->clock || !may_extend) {
+  if (!target->clock || !this->MayExtendLeases(now)) {
     return std::nullopt;
   }
   const bool draining = target->entry.state == TargetState::kDraining;
@@ -153,6 +151,7 @@
   const TargetTime deadline = EstimateClock(*target, now, this->settings.clock_drift) +
                               std::chrono::duration_cast<TargetTime>(duration);
   const double drift = 1.0 + this->settings.clock_drift;
+  target->lease_deadline = std::max(target->lease_deadline.value_or(deadline), deadline);
   const Duration ahead = deadline - *target->clock;
   target->lease_expires_at =
       std::max(target->lease_expires_at, target->clock_at + this->settings.clock_margin +
@@ -160,6 +159,27 @@
   return deadline;
 }
 
+std::optional<TargetTime> Cell::LeaseForStart(Target* target, bool resent, TimePoint now) {
+  // Holds extend the leases of a target that answers. If each start did so too, the lease of a
+  // target that went silent would end later with each start that it leaves unanswered.
+  if (!target->clock || !target->lease_deadline || !this->MayExtendLeases(now)) {
+    return this->ExtendLease(target, now);
+  }
+  const TargetTime left =
+      *target->lease_deadline - EstimateClock(*target, now, this->settings.clock_drift);
+  const bool enough_left = left >= this->settings.min_lease_at_start;
+  return resent || enough_left ? target->lease_deadline : this->ExtendLease(target, now);
+}
+
+bool Cell::MayExtendLeases(TimePoint now) const {
+  return now - this->ownership_confirmed_at < this->settings.store_outage_tolerance;
+}
+
+void Cell::ForgetClock(Target* target) {
+  target->clock.reset();
+  target->lease_deadline.reset();
+}
+
 void Cell::UpdateClock(Target* target, const std::optional<TargetTime>& clock, TimePoint now) {
   // Answers may arrive out of order, so an older reading may follow a newer one.
   if (clock && (!target->clock || *clock >= *target->clock)) {
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -48,7 +48,8 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
-  const auto deadline = same_incarnation ? this->ExtendLease(target, now) : std::nullopt;
+  const auto deadline =
+      same_incarnation ? this->LeaseForStart(target, task->sends > 0, now) : std::nullopt;
   if (!deadline) {
     // The target has restarted, or the store has not answered for too long to extend a lease.
     if (task->maybe_started) {
@@ -135,7 +136,7 @@
   }
   if (reply.status == OrderStatus::kWrongInstance) {
     this->RequeueLostRuns(target, now, "restarted");
-    target->clock.reset();
+    ForgetClock(target);
     return;
   }
   this->UpdateClock(target, reply.clock, now);
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -29,6 +29,9 @@
   /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
   /// ended. It still exceeds the takeover of a cell.
   Duration draining_lease_duration = std::chrono::milliseconds(4000);
+  /// A start extends the lease of its target only if less than this time is left of it. Until then,
+  /// a hold that gets lost can be sent again.
+  Duration min_lease_at_start = std::chrono::milliseconds(4000);
   /// Longest time for which a target may delay the answer to a hold until a run ends. The platform
   /// accepts up to 2 s.
   std::chrono::milliseconds long_poll{1000};
@@ -157,7 +160,9 @@
   std::uint64_t incarnation = 0;
   std::optional<TargetTime> clock;  ///< last reading of the target's own clock, if there is one
   TimePoint clock_at{};             ///< when the answer with the reading arrived
-  TimePoint lease_expires_at{};     ///< every run on the target has ended by then unless extended
+  /// Latest end of the lease that an order has set, on the target's clock.
+  std::optional<TargetTime> lease_deadline;
+  TimePoint lease_expires_at{};  ///< every run on the target has ended by then unless extended
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
   bool reconciled = false;
   bool hold_in_flight = false;
--- a/tests/emulator/draining_test.cc
+++ b/tests/emulator/draining_test.cc
@@ -94,5 +94,19 @@
   RequireNoViolations(&cell.cluster);
 }
 
+TEST_CASE("a long-running task of a crashed target runs again soon after its lease in a full cell",
+          "[emulator][draining]") {
+  // After 6 s without a run, the task may wait for 3 s more.
+  constexpr Duration kLimit = kMaxTimeWithoutRun + seconds(3);
+  FullCell cell;
+  const std::string target = cell.TargetsWithRun().front();
+  cell.cluster.CrashTarget(target);
+  cell.cluster.DeregisterTarget(target);
+  cell.Flood(seconds(20));
+  CHECK(cell.longest_without_run.count() < kLimit.count());
+  cell.cluster.Run(seconds(20));
+  RequireNoViolations(&cell.cluster);
+}
+
 }  // namespace
 }  // namespace pistachio::emulator
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -232,6 +232,21 @@
   REQUIRE(fixture.cell.submissions().at(kSubmission).State() == SubmissionState::kCompleted);
 }
 
+TEST_CASE("a hold extends the lease on a draining target by at most 4 s", "[cell][holds]") {
+  CellFixture fixture;
+  fixture.PlaceTask();
+  fixture.Advance(milliseconds(1));
+  fixture.AnswerHold(fixture.Reply());
+  fixture.entry.state = TargetState::kDraining;
+  fixture.entry.drain_remaining = seconds(7);
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  fixture.Advance(milliseconds(1));
+  const auto hold = fixture.Take<HoldOrder>();
+  REQUIRE(hold);
+  REQUIRE(hold->second.deadline);
+  REQUIRE(*hold->second.deadline <= *fixture.Reply().clock + seconds(4));
+}
+
 TEST_CASE("a target that answers each hold a second late keeps its runs", "[cell][holds]") {
   CellFixture fixture;
   fixture.estimate = std::chrono::minutes(2);
