--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -19,7 +19,7 @@
   }
   if (reply.status == OrderStatus::kWrongInstance) {
     this->RequeueLostRuns(target, now, "restarted");
-    target->clock.reset();
+    ForgetClock(target);
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
   }
@@ -193,6 +193,7 @@
   }
   if (task->phase == TaskPhase::kStarting) {
     task->phase = TaskPhase::kRunning;
+    task->displaced = false;
     task->phase_since = now;
     task->started_at = now;
     task->progressed_at = now;
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -48,7 +48,8 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
-  const auto deadline = same_incarnation ? this->ExtendLease(target, now) : std::nullopt;
+  const auto deadline =
+      same_incarnation ? this->LeaseForStart(target, task->sends > 0, now) : std::nullopt;
   if (!deadline) {
     // The target has restarted, or the store has not answered for too long to extend a lease.
     if (task->maybe_started) {
@@ -135,7 +136,7 @@
   }
   if (reply.status == OrderStatus::kWrongInstance) {
     this->RequeueLostRuns(target, now, "restarted");
-    target->clock.reset();
+    ForgetClock(target);
     return;
   }
   this->UpdateClock(target, reply.clock, now);
@@ -180,6 +181,7 @@
   task->order_in_flight = false;
   if (reply.status == OrderStatus::kDone) {
     task->phase = TaskPhase::kRunning;
+    task->displaced = false;
     task->phase_since = now;
     task->started_at = now;
     task->progressed_at = now;
@@ -295,6 +297,10 @@
   waiting.checkpoint = task->checkpoint;
   waiting.phase_since = now;
   waiting.last_run_seen_at = last_run_seen_at;
+  const Target* target = this->FindTarget(task->incarnation.target);
+  const bool left_draining_target =
+      had_run && target != nullptr && target->entry.state == TargetState::kDraining;
+  waiting.displaced = left_draining_target || task->displaced;
   waiting.avoid_target = avoid_current ? task->incarnation.target : task->avoid_target;
   *task = waiting;
   submission->occurrences.at(key.occurrence).steps[key.step].waiting++;
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -25,6 +25,13 @@
   /// longer than the takeover of a cell (2 s). On the other hand, the tasks of a lost target start
   /// elsewhere only after the lease has expired.
   Duration lease_duration = std::chrono::milliseconds(7500);
+  /// Replaces `lease_duration` on a draining target. Its long-running tasks that could not leave it
+  /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
+  /// ended. It still exceeds the takeover of a cell.
+  Duration draining_lease_duration = std::chrono::milliseconds(4000);
+  /// A start extends the lease of its target only if less than this time is left of it. Until then,
+  /// a hold that gets lost can be sent again.
+  Duration min_lease_at_start = std::chrono::milliseconds(4000);
   /// Longest time for which a target may delay the answer to a hold until a run ends. The platform
   /// accepts up to 2 s.
   std::chrono::milliseconds long_poll{1000};
@@ -74,9 +81,9 @@
   Duration max_commit_time = std::chrono::seconds(3);
   /// Time that a target may take to stop a run. After it, the stop is sent again.
   std::chrono::milliseconds stop_timeout{1000};
-  /// Time after which a long-running task that lost its run is scheduled before all other work. The
-  /// task has to run again about 6 s after its last run, and short tasks take a second or two to
-  /// end and free their resources.
+  /// Time without a run after which a long-running task is scheduled before all other work. The
+  /// time counts from when the last run was last known to exist. The task has to run again about 6
+  /// s after its last run, and short tasks take a second or two to end and free their resources.
   Duration starved_after = std::chrono::milliseconds(1500);
   /// Time for which the state of an ended submission stays available to callers.
   std::chrono::milliseconds ended_retention{120000};
@@ -153,7 +160,9 @@
   std::uint64_t incarnation = 0;
   std::optional<TargetTime> clock;  ///< last reading of the target's own clock, if there is one
   TimePoint clock_at{};             ///< when the answer with the reading arrived
-  TimePoint lease_expires_at{};     ///< every run on the target has ended by then unless extended
+  /// Latest end of the lease that an order has set, on the target's clock.
+  std::optional<TargetTime> lease_deadline;
+  TimePoint lease_expires_at{};  ///< every run on the target has ended by then unless extended
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
   bool reconciled = false;
   bool hold_in_flight = false;
@@ -165,10 +174,12 @@
   /// Holds since the last successful one that were not answered, or were rejected for a reason
   /// other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
-  /// In this scheduling round, the target's free resources are kept for a long-running task.
-  bool reserved = false;
+  /// In this scheduling round, resources kept for `reserved_for`, which may not be free yet.
+  Resources reserved;
+  std::vector<TaskKey> reserved_for;
   TargetLoad load;
-  std::set<TaskKey> tasks;  ///< tasks that hold resources on the target
+  Resources long_running_used;  ///< resources in `load.used` requested by long-running tasks
+  std::set<TaskKey> tasks;      ///< tasks that hold resources on the target
   std::map<std::pair<TaskKey, RunNumber>, UnconfirmedStart> unconfirmed_starts;
   /// Reported runs that no task of the cell accounts for, with the earliest time of the next stop.
   std::map<TaskKey, TimePoint> orphaned_runs;
