Log evacuation-waits only for runs that could not leave yet

Cause: a run that was already being stopped, or whose target had exited, logged evacuation-waits too, which says that no other target had room. Change: only a run on a registered draining target logs it; a comment's line break. Measured: test_emulator [draining] passes.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -176,9 +176,8 @@
   /// Computes a new end of a target's lease and moves `lease_expires_at` accordingly.
   /// \returns nothing if the target's clock is unknown or the store has not answered for too long.
   std::optional<TargetTime> ExtendLease(Target* target, TimePoint now);
-  /// \returns the end of the lease for the start of a run: the present one if enough of it is left
-  /// or
-  ///   \a resent is set, else that of `ExtendLease`.
+  /// \returns the end of the lease for the start of a run: the present one if \a resent is set or
+  ///   enough of it is left, else that of `ExtendLease`.
   std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
   /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
   bool MayExtendLeases(TimePoint now) const;
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -334,7 +334,9 @@
       if (destination == nullptr) {
         // The run continues until the target leaves or another one has room.
         this->ReserveResources(*submission, key, now);
-        this->LogEvacuationWait(&target, key, now);
+        if (running && target.registered) {
+          this->LogEvacuationWait(&target, key, now);
+        }
         continue;
       }
       destination->reserved += spec.need;
