Test that a task limited to one per target leaves a draining target

Cause: the evacuation of draining targets reserves resources by the limit of tasks per target too, which no case covered. Change: an emulator case with one task of the step per target. Measured: passes; it passes as well if the reservation ignores the limit (tried), so it guards the outcome, not that check alone.

--- a/tests/emulator/draining_test.cc
+++ b/tests/emulator/draining_test.cc
@@ -14,14 +14,18 @@
 /// Time for which a long-running task may be without a run.
 constexpr Duration kMaxTimeWithoutRun = seconds(6);
 
-/// One cell of 8 targets. Long-running tasks that need 10 of 16 cores run on 7 of them, and short
+/// One cell of 8 targets of 16 cores. A long-running task runs on each of 7 of them, and short
 /// tasks keep the free cores of all targets busy.
 class FullCell {
  public:
-  FullCell() : cluster(OneCell()) {
+  /// \param cpu_millis processors that each long-running task needs
+  /// \param max_per_target long-running tasks that a target may run; 0 for no limit
+  explicit FullCell(std::int64_t cpu_millis = 10000, std::uint32_t max_per_target = 0)
+      : cluster(OneCell()) {
     this->cluster.Run(seconds(2));
     SubmissionSpec spec = MakeSubmission(1, kLongRunningTasks, seconds(1));
-    spec.steps[0].need = Resources{10000, 1000, 0};
+    spec.steps[0].need = Resources{cpu_millis, 1000, 0};
+    spec.steps[0].max_per_target = max_per_target;
     spec.steps[0].long_running = true;
     spec.steps[0].tail_bound = milliseconds(50);
     this->cluster.Submit("north-host-0", kLongRunning, spec);
@@ -84,6 +88,18 @@
   RequireNoViolations(&cell.cluster);
 }
 
+TEST_CASE("resources for a task that leaves a draining target are kept where its step may run",
+          "[emulator][draining]") {
+  FullCell cell(6000, 1);
+  const std::string target = cell.TargetsWithRun().front();
+  cell.cluster.DrainTarget(target, seconds(7));
+  cell.Flood(seconds(6));
+  CHECK_FALSE(cell.cluster.target(target).HasRunOf(kLongRunning));
+  CHECK(cell.TargetsWithRun().size() == kLongRunningTasks);
+  cell.cluster.Run(seconds(20));
+  RequireNoViolations(&cell.cluster);
+}
+
 TEST_CASE("a long-running task whose target exits after a short drain runs again in time",
           "[emulator][draining]") {
   FullCell cell;
