Wait once, not once per owner, for the lease of a target that no owner reaches

Cause: a new owner gave up the runs of a target that it never reached 13.8 s after its own takeover. Change: the owner writes into its sequence key, with each commit and at least twice a second, how long runs may still exist on targets with tasks that have never answered it. While the store may hold such a bound, the owner extends no lease of the target and assigns it nothing; a target that answers gets its lease back once the write without the bound is confirmed. The next owner reads the key before it takes the cell, on the condition that it is unchanged, and waits for the rest, at least 1 s. The bound is a duration, so no wall clock is compared. Each write and take, also by the version before, replaces the key as a whole, so a bound never outlasts an owner that does not know of it. A takeover costs one more read.

--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -73,7 +73,7 @@
   }
   state.owner_record =
       OwnerRecord{membership.self().host, membership.self().incarnation, RandomId() >> 1U};
-  this->TakeOwnership(revision);
+  this->ReadSequence(revision);
 }
 
 bool CellOwnership::MayTake(const ClusterView& view, const Membership& membership,
@@ -134,16 +134,37 @@
   return state.targets_reachable;
 }
 
-void CellOwnership::TakeOwnership(std::uint64_t expected_revision) {
+void CellOwnership::ReadSequence(std::uint64_t expected_revision) {
   State& state = *this->state;
   state.generation++;
   state.phase = Phase::kTaking;
+  state.retry_call = nullptr;
+  this->CallStore(ReadKey{store_keys::Sequence(this->cell_id)}, this->settings.take_timeout,
+                  [this, expected_revision](const StoreReply& reply) {
+                    const bool found = reply.status == StoreStatus::kOk && !reply.items.empty();
+                    if (!found && reply.status != StoreStatus::kMissing) {
+                      this->state->phase = Phase::kIdle;
+                      this->state->next_take_at = this->state->now + this->settings.retry_delay;
+                      return;
+                    }
+                    this->TakeOwnership(expected_revision,
+                                        found ? reply.items.front() : StoreItem());
+                  });
+}
+
+void CellOwnership::TakeOwnership(std::uint64_t expected_revision, const StoreItem& sequence) {
+  State& state = *this->state;
+  const auto former = DecodeSequence(sequence.value);
+  state.inherited_bounds = former ? former->lease_bounds : LeaseBounds();
   Transaction take;
   take.preconditions.push_back(Precondition{store_keys::Owner(this->cell_id), expected_revision});
+  take.preconditions.push_back(
+      Precondition{store_keys::Sequence(this->cell_id), sequence.revision});
   take.puts.push_back(
       Put{store_keys::Owner(this->cell_id), EncodeRecord(state.owner_record), state.lease});
-  take.puts.push_back(
-      Put{store_keys::Sequence(this->cell_id), EncodeRecord(state.owner_record), 0});
+  take.puts.push_back(Put{store_keys::Sequence(this->cell_id),
+                          EncodeRecord(SequenceRecord{state.owner_record, state.inherited_bounds}),
+                          0});
   this->CallStore(take, this->settings.take_timeout,
                   [this, take](const StoreReply& reply) { this->OnTaken(reply, take); });
 }
@@ -204,6 +225,7 @@
   state.seen_as_owner = false;
   state.retry_call = nullptr;
   state.cell = std::make_unique<Cell>(this->cell_id, this->cell_settings, fencing_token, state.now);
+  state.cell->InheritLeaseBounds(state.inherited_bounds);
   this->Log(EventCode::kCellTaken,
             {{"cell", this->cell_id.str()}, {"token", std::to_string(fencing_token)}});
   MirrorSettings mirror;
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -112,6 +112,7 @@
     std::uint64_t fencing_token = 0;      ///< revision of this host's owner key
     std::uint64_t sequence_revision = 0;  ///< revision of the last commit, or of the take
     OwnerRecord owner_record;             ///< written to the owner key
+    LeaseBounds inherited_bounds;         ///< in the sequence key when the cell was taken
     std::uint64_t lease = 0;              ///< lease of this host; 0 if there is none
     TimePoint now{};                      ///< time of the last tick
     /// Start of the time without an owner; zero while the cell has one. On a remote host, the time
@@ -156,7 +157,10 @@
   /// \returns true if this host, outside the cell's data centres, may take the cell now. Starts a
   ///   reachability probe if one is needed.
   bool RemoteHostMayTake(const ClusterView& view);
-  void TakeOwnership(std::uint64_t expected_revision);
+  /// Reads the sequence key, then takes the cell on the condition that neither key changes.
+  /// \param expected_revision of the owner key
+  void ReadSequence(std::uint64_t expected_revision);
+  void TakeOwnership(std::uint64_t expected_revision, const StoreItem& sequence);
   void OnTaken(const StoreReply& reply, const Transaction& take);
   void StartLoading(std::uint64_t fencing_token);
   void ReadModel();
@@ -175,6 +179,8 @@
   void StartMove(const ClusterView& view);
   /// Updates the estimated loads of the other cells.
   void UpdateDestinations(const ClusterView& view);
+  /// Adds the owner's conditions and the sequence key to a new write with the number \a number.
+  void AddSequence(std::uint64_t number, const LeaseBounds& lease_bounds, Transaction* write);
   void SendCommit();
   void OnCommitted(const StoreReply& reply);
   void PublishLoad();
--- a/pistachio/process/ownership/cell_ownership_commit.cc
+++ b/pistachio/process/ownership/cell_ownership_commit.cc
@@ -23,11 +23,7 @@
     return;
   }
   Transaction commit;
-  commit.preconditions = {{store_keys::Owner(this->cell_id), state.fencing_token},
-                          {store_keys::Sequence(this->cell_id), state.sequence_revision}};
-  OwnerRecord sequence_record = state.owner_record;
-  sequence_record.nonce += batch->number;
-  commit.puts.push_back(Put{store_keys::Sequence(this->cell_id), EncodeRecord(sequence_record), 0});
+  this->AddSequence(batch->number, batch->lease_bounds, &commit);
   for (const auto& [id, bytes] : batch->records) {
     commit.puts.push_back(Put{store_keys::Progress(this->cell_id, id), bytes, 0});
   }
@@ -90,11 +86,7 @@
     return;
   }
   Transaction move;
-  move.preconditions = {{store_keys::Owner(this->cell_id), state.fencing_token},
-                        {store_keys::Sequence(this->cell_id), state.sequence_revision}};
-  OwnerRecord sequence_record = state.owner_record;
-  sequence_record.nonce += batch->number;
-  move.puts.push_back(Put{store_keys::Sequence(this->cell_id), EncodeRecord(sequence_record), 0});
+  this->AddSequence(batch->number, batch->lease_bounds, &move);
   for (const MoveBatch::Row& row : batch->rows) {
     const SubmissionId& id = row.accepted.id;
     move.preconditions.push_back({store_keys::Accepted(this->cell_id, id), row.revision});
@@ -110,6 +102,16 @@
   this->SendCommit();
 }
 
+void CellOwnership::AddSequence(std::uint64_t number, const LeaseBounds& lease_bounds,
+                                Transaction* write) {
+  const State& state = *this->state;
+  write->preconditions = {{store_keys::Owner(this->cell_id), state.fencing_token},
+                          {store_keys::Sequence(this->cell_id), state.sequence_revision}};
+  SequenceRecord record{state.owner_record, lease_bounds};
+  record.writer.nonce += number;
+  write->puts.push_back(Put{store_keys::Sequence(this->cell_id), EncodeRecord(record), 0});
+}
+
 void CellOwnership::SendCommit() {
   State& state = *this->state;
   state.commit_in_flight = true;
@@ -161,7 +163,7 @@
   state.open_commit.reset();
   state.cell->ConfirmOwnership(state.now);
   if (state.commit_is_move) {
-    state.cell->OnMoved(state.commit_number, revision);
+    state.cell->OnMoved(state.commit_number, revision, state.now);
   } else {
     state.cell->OnCommitted(state.commit_number, state.now);
   }
--- a/pistachio/process/ownership/cluster_view.cc
+++ b/pistachio/process/ownership/cluster_view.cc
@@ -42,6 +42,15 @@
   return ToCborBytes(internal::Json::array({record.host.str(), record.incarnation, record.nonce}));
 }
 
+std::string EncodeRecord(const SequenceRecord& record) {
+  internal::Json bounds = internal::Json::array();
+  for (const auto& [target, bound] : record.lease_bounds) {
+    bounds.push_back(internal::Json::array({target.str(), bound.count()}));
+  }
+  return ToCborBytes(internal::Json::array({record.writer.host.str(), record.writer.incarnation,
+                                            record.writer.nonce, std::move(bounds)}));
+}
+
 std::string EncodeRecord(const LoadRecord& record) {
   internal::Json pending = internal::Json::object();
   for (const auto& [queue, count] : record.pending) {
@@ -73,6 +82,22 @@
                                            });
 }
 
+std::optional<SequenceRecord> DecodeSequence(const std::string& bytes) {
+  return internal::DecodeWith<SequenceRecord>(
+      bytes, [](const internal::Json& json, SequenceRecord* record) {
+        record->writer.host = HostId(json.at(0).get<std::string>());
+        record->writer.incarnation = json.at(1).get<std::uint64_t>();
+        record->writer.nonce = json.at(2).get<std::uint64_t>();
+        // Records of earlier versions end here.
+        if (json.size() > 3) {
+          for (const internal::Json& row : json.at(3)) {
+            record->lease_bounds[TargetId(row.at(0).get<std::string>())] =
+                Duration(row.at(1).get<Duration::rep>());
+          }
+        }
+      });
+}
+
 std::optional<LoadRecord> DecodeLoad(const std::string& bytes) {
   return internal::DecodeWith<LoadRecord>(
       bytes, [](const internal::Json& json, LoadRecord* record) {
--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -33,6 +33,15 @@
   std::uint64_t nonce = 0;
 };
 
+/// \brief Marker of an owner's last write.
+///
+/// Each write replaces the record as a whole, as does each take of the cell. Therefore the bounds
+/// of an owner don't outlast the next owner, even one whose version writes none.
+struct SequenceRecord {
+  OwnerRecord writer;  ///< its nonce differs between writes
+  LeaseBounds lease_bounds;
+};
+
 /// \brief Load of a cell as its owner last published it.
 struct LoadRecord {
   /// Number of uncancelled submissions without an assigned task, by queue.
@@ -53,11 +62,13 @@
 /// \returns the record as CBOR.
 std::string EncodeRecord(const MemberRecord& record);
 std::string EncodeRecord(const OwnerRecord& record);
+std::string EncodeRecord(const SequenceRecord& record);
 std::string EncodeRecord(const LoadRecord& record);
 
 /// \returns the decoded record, or nothing if \a bytes do not hold a valid one.
 std::optional<MemberRecord> DecodeMember(const std::string& bytes);
 std::optional<OwnerRecord> DecodeOwner(const std::string& bytes);
+std::optional<SequenceRecord> DecodeSequence(const std::string& bytes);
 std::optional<LoadRecord> DecodeLoad(const std::string& bytes);
 
 /// \brief Read access to the mirrored store records of members, owners, loads and the layout.
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -85,7 +85,7 @@
   Target& target = this->targets[task->incarnation.target];
   if (target.entry.id.empty()) {
     target.entry.id = task->incarnation.target;
-    target.lease_expires_at = this->InheritedLeaseExpiry();
+    target.lease_expires_at = this->InheritedLeaseExpiry(target.entry.id);
   }
   // A later incarnation of the target may have carried out the start too, so the latest known
   // incarnation counts.
@@ -93,13 +93,23 @@
   this->UpdateLoad(&target, key, submission->Step(key.step), 1);
 }
 
-TimePoint Cell::InheritedLeaseExpiry() const {
+TimePoint Cell::InheritedLeaseExpiry(const TargetId& target) const {
   const double drift = 1.0 + this->settings.clock_drift;
-  return this->acquired_at + this->settings.store_outage_tolerance +
-         std::chrono::duration_cast<Duration>(this->settings.lease_duration * drift) +
-         this->settings.clock_margin;
+  const Duration longest =
+      this->settings.store_outage_tolerance +
+      std::chrono::duration_cast<Duration>(this->settings.lease_duration * drift) +
+      this->settings.clock_margin;
+  const auto bound = this->stored_bounds.find(target);
+  if (bound == this->stored_bounds.end()) {
+    return this->acquired_at + longest;
+  }
+  // The bound was computed before this owner took the cell, and no lease was extended since.
+  return this->acquired_at +
+         std::min(longest, std::max(bound->second, this->settings.min_inherited_wait));
 }
 
+void Cell::InheritLeaseBounds(const LeaseBounds& bounds) { this->stored_bounds = bounds; }
+
 void Cell::FinishLoading(TimePoint now) {
   this->loaded = true;
   this->schedule_due = true;
@@ -280,7 +290,9 @@
     }
   }
   this->AddExpiredSubmission(&batch);
-  if (batch.records.empty() && batch.deleted.empty()) {
+  batch.lease_bounds = this->CurrentLeaseBounds(now);
+  const bool bounds_due = this->LeaseBoundsDue(batch.lease_bounds, now);
+  if (batch.records.empty() && batch.deleted.empty() && !bounds_due) {
     // Ends without an effect on any submission are acknowledged without a write.
     for (const auto& [id, last_end] : pending.last_ends) {
       this->targets.at(id).last_durable_end = last_end.second;
@@ -302,6 +314,7 @@
   this->commit_urgent = !this->dirty.empty();
   this->last_commit_at = now;
   this->open_commit = std::move(pending);
+  this->BeginLeaseBounds(batch.lease_bounds, now);
   return batch;
 }
 
@@ -326,6 +339,7 @@
   }
   const internal::PendingCommit commit = std::move(*this->open_commit);
   this->open_commit.reset();
+  this->ConfirmLeaseBounds(now);
   for (const auto& [id, last_end] : commit.last_ends) {
     Target* target = this->FindTarget(id);
     if (target != nullptr && target->incarnation == last_end.first &&
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -46,6 +46,10 @@
   /// \returns the encoded interference model, for the store.
   std::string EncodeModel() const { return this->interference_model.Encode(); }
 
+  /// \brief Sets the lease bounds that were in the store when this process became the owner. Called
+  /// before `PutTarget` and `Load`.
+  void InheritLeaseBounds(const LeaseBounds& bounds);
+
   /// \brief Ends loading. Before, `Tick` schedules nothing and `NextCommit` returns nothing.
   void FinishLoading(TimePoint now);
 
@@ -81,7 +85,7 @@
   std::optional<MoveBatch> NextMove(std::vector<MoveDestination>* destinations, TimePoint now);
   /// \brief Confirms that the write \a number is in the store. Other numbers are ignored.
   /// \param revision store revision of the write
-  void OnMoved(std::uint64_t number, std::uint64_t revision);
+  void OnMoved(std::uint64_t number, std::uint64_t revision, TimePoint now);
   /// \brief Reports that the write \a number had no effect and is not sent again.
   void OnMoveRejected(std::uint64_t number);
 
@@ -129,8 +133,9 @@
 
   /// Restores the run and the resources of a task that an earlier owner assigned.
   void RecoverTask(Submission* submission, const TaskKey& key, Task* task, TimePoint now);
-  /// \returns the latest time at which a lease extended by an earlier owner can expire.
-  TimePoint InheritedLeaseExpiry() const;
+  /// \returns the latest time at which a lease of \a target that an earlier owner extended can
+  ///   expire.
+  TimePoint InheritedLeaseExpiry(const TargetId& target) const;
   /// Adds the oldest ended submission to \a batch for deletion if its retention time is over.
   void AddExpiredSubmission(CommitBatch* batch);
 
@@ -170,6 +175,17 @@
   /// Requeues the runs whose lease has expired and removes targets that are gone.
   void ExpireLeases(TimePoint now);
   void SendDueHolds(TimePoint now);
+  /// \returns the lease bounds to store: those of targets with tasks that have never answered.
+  LeaseBounds CurrentLeaseBounds(TimePoint now) const;
+  /// \returns true if bounds should be written although nothing else has changed.
+  bool LeaseBoundsDue(const LeaseBounds& bounds, TimePoint now) const;
+  /// Notes that \a bounds are part of a write that may reach the store from now on.
+  void BeginLeaseBounds(const LeaseBounds& bounds, TimePoint now);
+  /// Notes that the write of the last `BeginLeaseBounds` is in the store.
+  void ConfirmLeaseBounds(TimePoint now);
+  /// \returns true if the store may hold a lease bound of the target, so its lease must not be
+  ///   extended.
+  bool HasLeaseBound(const TargetId& target) const;
   /// Removes unconfirmed starts that have expired, and sends stops that cancel unwanted ones.
   void CancelUnconfirmedStarts(const TargetId& id, Target* target, TimePoint now);
   void SendHold(Target* target, TimePoint now);
@@ -322,7 +338,10 @@
   CellCounters counts;
   OrderTicket next_ticket = 1;
   std::uint64_t next_commit = 1;
-  std::optional<MoveBatch> open_move;  ///< not confirmed by the store yet
+  std::optional<MoveBatch> open_move;      ///< not confirmed by the store yet
+  LeaseBounds stored_bounds;               ///< in the store
+  std::optional<LeaseBounds> open_bounds;  ///< of the open commit or move
+  TimePoint bounds_written_at{};           ///< when the last bounds were computed for a write
   /// Store revisions of the moves of submissions to other cells.
   std::map<SubmissionId, std::uint64_t> moved_away;
   std::deque<SubmissionId> moved_away_order;  ///< oldest first, to bound the memory
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -46,6 +46,7 @@
     this->schedule_due = true;
   }
   target->failed_holds = 0;
+  target->answered = true;
   target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
   this->UpdateClock(target, reply.clock, now);
   const bool complete = reply.finished.size() < kMaxFinishedPerReply;
@@ -70,7 +71,8 @@
   }
   this->AdjustPaces(target, now);
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
-  target->next_hold_at = uncommitted ? now + this->settings.uncommitted_poll_interval : now;
+  const bool waits_for_store = uncommitted || this->HasLeaseBound(target->entry.id);
+  target->next_hold_at = waits_for_store ? now + this->settings.uncommitted_poll_interval : now;
 }
 
 void Cell::HandleFinishedRun(Target* target, const FinishedRun& end, TimePoint now) {
--- a/pistachio/process/scheduling/cell_moves.cc
+++ b/pistachio/process/scheduling/cell_moves.cc
@@ -129,16 +129,19 @@
     return std::nullopt;
   }
   this->next_commit++;
+  batch.lease_bounds = this->CurrentLeaseBounds(now);
+  this->BeginLeaseBounds(batch.lease_bounds, now);
   this->open_move = batch;
   return batch;
 }
 
-void Cell::OnMoved(std::uint64_t number, std::uint64_t revision) {
+void Cell::OnMoved(std::uint64_t number, std::uint64_t revision, TimePoint now) {
   if (!this->open_move || this->open_move->number != number) {
     return;
   }
   const MoveBatch batch = std::move(*this->open_move);
   this->open_move.reset();
+  this->ConfirmLeaseBounds(now);
   for (const MoveBatch::Row& row : batch.rows) {
     const SubmissionId& id = row.accepted.id;
     this->counts.moves++;
@@ -164,6 +167,7 @@
   }
   const MoveBatch batch = std::move(*this->open_move);
   this->open_move.reset();
+  this->open_bounds.reset();
   this->schedule_due = true;
   for (const MoveBatch::Row& row : batch.rows) {
     if (Submission* submission = this->FindSubmission(row.accepted.id)) {
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -223,7 +223,7 @@
 bool Cell::TakesWork(const Target& target, TimePoint now) const {
   return target.registered && target.entry.state == TargetState::kReady && target.reconciled &&
          target.clock && target.failed_holds < this->settings.health.max_failed_holds &&
-         target.health.MayStart(now);
+         target.health.MayStart(now) && !this->HasLeaseBound(target.entry.id);
 }
 
 bool Cell::MayRunOn(const Target& target, const StepSpec& spec, const ServiceId& service,
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -9,7 +9,7 @@
   Target& target = this->targets[entry.id];
   if (target.entry.id.empty()) {
     // An earlier owner may have extended the lease of a target that is new to this owner.
-    target.lease_expires_at = this->InheritedLeaseExpiry();
+    target.lease_expires_at = this->InheritedLeaseExpiry(entry.id);
     target.incarnation = entry.incarnation;
     target.next_hold_at = now;
   }
@@ -144,7 +144,7 @@
 std::optional<TargetTime> Cell::ExtendLease(Target* target, TimePoint now) {
   const bool may_extend =
       now - this->ownership_confirmed_at < this->settings.store_outage_tolerance;
-  if (!target->clock || !may_extend) {
+  if (!target->clock || !may_extend || this->HasLeaseBound(target->entry.id)) {
     return std::nullopt;
   }
   const TargetTime deadline = EstimateClock(*target, now, this->settings.clock_drift) +
@@ -158,6 +158,7 @@
 }
 
 void Cell::UpdateClock(Target* target, const std::optional<TargetTime>& clock, TimePoint now) {
+  target->answered = target->answered || clock;
   // Answers may arrive out of order, so an older reading may follow a newer one.
   if (clock && (!target->clock || *clock >= *target->clock)) {
     target->clock = clock;
@@ -204,7 +205,9 @@
   const bool ack_due = target->last_durable_end > target->last_acked_end;
   hold.acked_end = ack_due && answered_recently ? target->last_durable_end : 0;
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
-  const bool may_wait = target->reconciled && !uncommitted && !ack_due && target->failed_holds == 0;
+  // The lease of a target with a lease bound is to be extended as soon as the bound is removed.
+  const bool may_wait = target->reconciled && !uncommitted && !ack_due &&
+                        target->failed_holds == 0 && !this->HasLeaseBound(target->entry.id);
   if (may_wait) {
     const bool near_bound = !target->load.best_effort.empty() &&
                             ReportedTailRatio(target->load.serving) >
@@ -225,6 +228,54 @@
   this->EnqueueOrder(*target, hold, hold.wait + margin, sent);
 }
 
+LeaseBounds Cell::CurrentLeaseBounds(TimePoint now) const {
+  // A store key holds at most some kilobytes, and every commit writes the bounds.
+  constexpr std::size_t kMaxBounds = 64;
+  LeaseBounds bounds;
+  for (const auto& [id, target] : this->targets) {
+    const bool silent = target.failed_holds >= this->settings.health.max_failed_holds ||
+                        target.entry.address.empty();
+    const bool listed =
+        !target.answered && !target.tasks.empty() && (silent || this->stored_bounds.count(id) != 0);
+    if (listed && bounds.size() < kMaxBounds) {
+      bounds[id] = std::max(Duration(0), target.lease_expires_at - now);
+    }
+  }
+  return bounds;
+}
+
+bool Cell::LeaseBoundsDue(const LeaseBounds& bounds, TimePoint now) const {
+  const bool same_targets = std::equal(
+      bounds.begin(), bounds.end(), this->stored_bounds.begin(), this->stored_bounds.end(),
+      [](const auto& a, const auto& b) { return a.first == b.first; });
+  return !same_targets ||
+         (!bounds.empty() && now - this->bounds_written_at >= this->settings.lease_bounds_interval);
+}
+
+void Cell::BeginLeaseBounds(const LeaseBounds& bounds, TimePoint now) {
+  this->open_bounds = bounds;
+  this->bounds_written_at = now;
+}
+
+void Cell::ConfirmLeaseBounds(TimePoint now) {
+  if (!this->open_bounds) {
+    return;
+  }
+  const LeaseBounds former = std::exchange(this->stored_bounds, std::move(*this->open_bounds));
+  this->open_bounds.reset();
+  for (const auto& [id, bound] : former) {
+    Target* target = this->FindTarget(id);
+    if (target != nullptr && target->answered && !target->hold_in_flight) {
+      target->next_hold_at = now;
+    }
+  }
+}
+
+bool Cell::HasLeaseBound(const TargetId& target) const {
+  return this->stored_bounds.count(target) != 0 ||
+         (this->open_bounds && this->open_bounds->count(target) != 0);
+}
+
 void Cell::CancelUnconfirmedStarts(const TargetId& id, Target* target, TimePoint now) {
   for (auto found = target->unconfirmed_starts.begin();
        found != target->unconfirmed_starts.end();) {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -60,6 +60,12 @@
   /// store outage of this time plus `lease_duration`. A new owner waits for the same sum before it
   /// gives up runs on targets that it cannot reach. Store outages at the sites last up to 9 s.
   Duration store_outage_tolerance = std::chrono::seconds(6);
+  /// Interval at which the owner writes the lease bounds of unreached targets. They count down, so
+  /// after a change of owner the wait for a target is longer by up to this time.
+  Duration lease_bounds_interval = std::chrono::milliseconds(500);
+  /// Shortest time for which a new owner waits for a target with a lease bound. It covers one hold,
+  /// so that a target that the new owner can reach is asked first.
+  Duration min_inherited_wait = std::chrono::milliseconds(1000);
   /// Largest fraction by which a target's clock may run slow.
   double clock_drift = 0.03;
   /// Time added to the computed end of a lease for the transmission of a clock reading.
@@ -104,6 +110,7 @@
   std::uint64_t number = 0;  ///< rising from 1; passed to `Cell::OnCommitted` to confirm the write
   std::vector<std::pair<SubmissionId, std::string>> records;  ///< encoded progress by submission
   std::vector<SubmissionId> deleted;  ///< ended submissions; the write deletes all their keys
+  LeaseBounds lease_bounds;           ///< replace those in the store
 };
 
 /// \brief One atomic write to the store that moves submissions to other cells. None of them has
@@ -117,6 +124,7 @@
   };
   std::uint64_t number = 0;  ///< passed to `Cell::OnMoved` and `Cell::OnMoveRejected`
   std::vector<Row> rows;
+  LeaseBounds lease_bounds;  ///< replace those in the store
 };
 
 /// \brief Event counts since this process became the owner of the cell, for metrics and logs.
@@ -154,6 +162,8 @@
   std::optional<TargetTime> clock;  ///< last reading of the target's own clock, if there is one
   TimePoint clock_at{};             ///< when the answer with the reading arrived
   TimePoint lease_expires_at{};     ///< every run on the target has ended by then unless extended
+  /// An incarnation of the target has answered this owner, which may have extended its lease since.
+  bool answered = false;
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
   bool reconciled = false;
   bool hold_in_flight = false;
--- a/pistachio/process/scheduling/types.h
+++ b/pistachio/process/scheduling/types.h
@@ -159,6 +159,12 @@
   std::uint64_t incarnation = 0;
 };
 
+/// \brief For targets that the owner of a cell has never reached: the longest time for which runs
+/// on the target may still exist.
+///
+/// While a bound is in the store, no owner extends the target's lease.
+using LeaseBounds = std::map<TargetId, Duration>;
+
 /// \brief How a run ended.
 enum class RunOutcome {
   kDone,
