Let hosts with slow links receive large configurations

Configuration 17 is about 1.1 MB on the wire, 0.9 s of a link of 10 Mbit/s. A watch is given up after 1.5 s, up to 1 s of which may have passed when the change comes, and the retry transfers the whole value again. Submissions on a host that is behind make it worse: each gets the whole newer configuration with the 412 answer, cannot receive it within 700 ms, tries twice and ends in doubt. Links of hosts that were behind carried 1.0 to 1.25 MB/s for up to 36 s; three hosts never had version 17 in force. Eight requests were answered by routes that version 17 had dropped. Three got 404 for a route of version 20, because the answer 410 (history lost) counted as a confirmation of the old copy.

Change: a reply tells whether a part of the answer arrived before the call failed. After such a reply PrefixMirror gives the next call 4 s more. A connection that brings nothing is given up as early as before. A call with more time confirms the copy as of its sending, and 410 confirms nothing.

Submissions still fetch the whole configuration on a conflict and end in doubt meanwhile.

--- a/pistachio/connection/http/http_client.cc
+++ b/pistachio/connection/http/http_client.cc
@@ -101,6 +101,7 @@
   const bool nothing_sent = NothingSent(easy, code, transfer.call);
   transfer.result.failure = nothing_sent ? HttpFailure::kNotSent : HttpFailure::kMaybeSent;
   transfer.result.reason = transfer.too_large ? "answer too large" : curl_easy_strerror(code);
+  transfer.result.answer_cut_off = !transfer.result.body.empty() && !transfer.too_large;
   transfer.result.body.clear();
 }
 
--- a/pistachio/connection/http/http_types.h
+++ b/pistachio/connection/http/http_types.h
@@ -43,6 +43,8 @@
   std::string reason;                  ///< why the call failed; else empty
   int status = 0;                      ///< HTTP status; 0 after a failure
   std::string body;                    ///< empty after a failure
+  /// A part of the body arrived before the call failed. Not set if the body is too large.
+  bool answer_cut_off = false;
 
   /// \returns true if the answer, of any status, is complete.
   bool answered() const { return !this->failure.has_value(); }
--- a/pistachio/connection/store/calls.h
+++ b/pistachio/connection/store/calls.h
@@ -101,6 +101,9 @@
   std::uint64_t lease = 0;           ///< id of the lease that a grant or a renewal returns
   std::chrono::milliseconds ttl{0};  ///< time to live of the lease
   std::string reason;                ///< why the status is kRefused or kUnknown
+  /// The call failed after a part of its answer had arrived, for example because the answer was too
+  /// long to arrive within the timeout.
+  bool cut_off = false;
 };
 
 /// \returns the item of \a key in \a reply, or one with revision 0 if \a reply has none.
--- a/pistachio/connection/store/prefix_mirror.cc
+++ b/pistachio/connection/store/prefix_mirror.cc
@@ -36,6 +36,7 @@
 void PrefixMirror::SendNextCall() {
   State& current = *this->state;
   current.in_flight = true;
+  current.sent_at = current.now;
   StoreCall call;
   Duration timeout = this->settings.read_timeout;
   if (current.reading) {
@@ -44,6 +45,9 @@
     call = WatchPrefix{this->settings.prefix, current.revision, this->settings.watch_wait};
     timeout = this->settings.watch_wait + this->settings.answer_slack;
   }
+  if (current.cut_off) {
+    timeout += this->settings.cut_off_extension;
+  }
   this->store(
       call, timeout,
       [this, state = this->state, generation = current.generation](const StoreReply& reply) {
@@ -54,12 +58,13 @@
 }
 
 void PrefixMirror::OnReply(const StoreReply& reply) {
-  this->state->in_flight = false;
-  const bool answered = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kMissing;
-  if (answered) {
-    this->state->confirmed_at = this->state->now;
+  State& current = *this->state;
+  current.in_flight = false;
+  if (reply.status == StoreStatus::kOk) {
+    current.confirmed_at = current.cut_off ? current.sent_at : current.now;
   }
-  if (reply.status == StoreStatus::kOk && this->state->reading) {
+  current.cut_off = reply.cut_off;
+  if (reply.status == StoreStatus::kOk && current.reading) {
     this->OnPage(reply);
   } else if (reply.status == StoreStatus::kOk) {
     this->OnEvents(reply);
--- a/pistachio/connection/store/prefix_mirror.h
+++ b/pistachio/connection/store/prefix_mirror.h
@@ -17,6 +17,9 @@
   /// Time for a watch's answer to arrive after the wait has ended.
   std::chrono::milliseconds answer_slack{500};
   std::chrono::milliseconds read_timeout{800};  ///< timeout of the read of one page of keys
+  /// Added to the timeout of a call that follows one whose answer was cut off. The store sends the
+  /// whole answer again, so a value that takes longer than the timeout to arrive would never do so.
+  std::chrono::milliseconds cut_off_extension{4000};
   /// Delay of the next watch after one that returned changes. Without a delay, changes that arrive
   /// one by one cost a call each.
   Duration change_pause{0};
@@ -57,8 +60,10 @@
   /// \returns true after the first full read.
   bool loaded() const { return this->state->loaded; }
 
-  /// \returns the time of the last Tick() before the store's latest answer to this mirror, or the
-  /// time of Start() if there is none. Refused calls and calls without a reply do not count.
+  /// \returns the time of the last Tick() before the latest answer that brought the copy, or a page
+  /// of a full read, up to date, or the time of Start() if there is none. Failed calls and answers
+  /// that the history is lost do not count. For a call with an extended timeout it is the time at
+  /// which the call was sent, because its answer may take seconds to arrive.
   TimePoint confirmed_at() const { return this->state->confirmed_at; }
 
   /// \returns the copy, by key.
@@ -77,9 +82,11 @@
     bool reading = true;       ///< a full read is under way, else the mirror watches
     bool in_flight = false;    ///< a call has no reply yet
     bool running = false;      ///< between Start() and Stop()
+    bool cut_off = false;      ///< a part of the last call's answer arrived before it failed
     TimePoint now{};           ///< time of the last Tick()
     TimePoint next_call{};     ///< earliest time of the next call
-    TimePoint confirmed_at{};  ///< time of the store's last answer
+    TimePoint sent_at{};       ///< time of the last Tick() before the last call was sent
+    TimePoint confirmed_at{};  ///< see PrefixMirror::confirmed_at()
   };
 
   void SendNextCall();
--- a/tests/http/http_exchange_test.cc
+++ b/tests/http/http_exchange_test.cc
@@ -19,7 +19,8 @@
 /// one, as a target that crashes does.
 class ClosingServer {
  public:
-  ClosingServer() {
+  /// \param cut_off whether the connection closes in the middle of the first answer
+  explicit ClosingServer(bool cut_off = false) : cut_off(cut_off) {
     this->listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -75,10 +76,12 @@
     if (++this->received > 1) {
       return false;
     }
-    const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-    return write(connection, answer, sizeof(answer) - 1) > 0;
+    const std::string length = this->cut_off ? "20" : "2";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nok";
+    return write(connection, answer.data(), answer.size()) > 0 && !this->cut_off;
   }
 
+  const bool cut_off;
   int listener = -1;
   std::uint16_t port = 0;
   std::atomic<int> received{0};
@@ -159,6 +162,20 @@
   REQUIRE(result.failure == HttpFailure::kNotSent);
 }
 
+TEST_CASE("a failed call tells whether a part of its answer arrived", "[http]") {
+  ClosingServer server(true);
+  HttpClient client;
+  HttpCall call;
+  call.url = server.url();
+  const HttpResult cut_off = client.SendAndWait(call);
+  REQUIRE_FALSE(cut_off.answered());
+  REQUIRE(cut_off.answer_cut_off);
+  REQUIRE(cut_off.body.empty());
+  const HttpResult unanswered = client.SendAndWait(call);
+  REQUIRE_FALSE(unanswered.answered());
+  REQUIRE_FALSE(unanswered.answer_cut_off);
+}
+
 TEST_CASE("a request with send_once is not sent again when its connection closes", "[http]") {
   ClosingServer server;
   HttpClient client;
@@ -202,6 +219,7 @@
   const HttpResult result = client.SendAndWait(call);
   REQUIRE(result.failure == HttpFailure::kMaybeSent);
   REQUIRE(result.body.empty());
+  REQUIRE_FALSE(result.answer_cut_off);
 }
 
 TEST_CASE("a server that stops answers what is open and what still comes in", "[http]") {
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -168,6 +168,10 @@
   lost.failure = HttpFailure::kMaybeSent;
   REQUIRE(DecodeStoreReply(write, lost).status == StoreStatus::kUnknown);
   REQUIRE(DecodeStoreReply(read, lost).status == StoreStatus::kRefused);
+  REQUIRE_FALSE(DecodeStoreReply(read, lost).cut_off);
+  lost.answer_cut_off = true;
+  REQUIRE(DecodeStoreReply(read, lost).cut_off);
+  lost.answer_cut_off = false;
   lost.failure = HttpFailure::kNotSent;
   REQUIRE(DecodeStoreReply(write, lost).status == StoreStatus::kRefused);
 }
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -11,9 +11,11 @@
 /// Store that keeps each call until the test answers it.
 struct ManualStore {
   std::deque<std::pair<StoreCall, StoreCallback>> pending;  ///< calls without a reply, oldest first
+  Duration last_timeout{0};                                 ///< timeout of the newest call
 
   StorePort Port() {
-    return [this](const StoreCall& call, Duration, StoreCallback callback) {
+    return [this](const StoreCall& call, Duration timeout, StoreCallback callback) {
+      this->last_timeout = timeout;
       this->pending.emplace_back(call, std::move(callback));
     };
   }
@@ -113,6 +115,67 @@
   REQUIRE(fixture.store.pending.size() == 1);
 }
 
+StoreReply CutOffReply() {
+  StoreReply reply = StatusReply(StoreStatus::kRefused);
+  reply.cut_off = true;
+  return reply;
+}
+
+// A host with a slow link cannot receive a large value within the usual timeout. As the store sends
+// the whole value again, each further call with that timeout would fail as well.
+TEST_CASE("a call after one whose answer was cut off has more time", "[store]") {
+  Fixture fixture;
+  TimePoint now{};
+  fixture.mirror.Start(now);
+  const auto retry = [&fixture, &now](const StoreReply& reply) {
+    fixture.store.Answer(reply);
+    now += milliseconds(100);
+    fixture.mirror.Tick(now);
+    REQUIRE(fixture.store.pending.size() == 1);
+    return fixture.store.last_timeout;
+  };
+  REQUIRE(fixture.store.last_timeout == milliseconds(800));
+  REQUIRE(retry(CutOffReply()) == milliseconds(4800));
+  REQUIRE(retry(CutOffReply()) == milliseconds(4800));
+  fixture.store.Answer(OkReply({}, 10));
+  REQUIRE(fixture.store.last_timeout == milliseconds(1500));
+  REQUIRE(retry(CutOffReply()) == milliseconds(5500));
+  // A connection that stopped responding brings no part of an answer and is given up early.
+  REQUIRE(retry(StatusReply(StoreStatus::kRefused)) == milliseconds(1500));
+  REQUIRE(retry(CutOffReply()) == milliseconds(5500));
+  fixture.store.Answer(OkReply({Item("p/a", 12)}, 12));
+  REQUIRE(fixture.store.last_timeout == milliseconds(1500));
+}
+
+// A change that the store receives while a long answer is on its way is not part of the answer.
+TEST_CASE("a call after one whose answer was cut off confirms the copy as of its sending",
+          "[store]") {
+  Fixture fixture;
+  const TimePoint start{};
+  fixture.mirror.Start(start);
+  fixture.store.Answer(OkReply({}, 10));
+  fixture.store.Answer(CutOffReply());
+  fixture.mirror.Tick(start + milliseconds(100));
+  fixture.mirror.Tick(start + milliseconds(4000));
+  fixture.store.Answer(OkReply({Item("p/a", 12)}, 12));
+  REQUIRE(fixture.mirror.confirmed_at() == start + milliseconds(100));
+  fixture.store.Answer(OkReply({}, 12));
+  REQUIRE(fixture.mirror.confirmed_at() == start + milliseconds(4000));
+}
+
+// A host whose copy is old must not take it for current while it reads all keys again.
+TEST_CASE("the answer that the history is lost does not confirm the copy", "[store]") {
+  Fixture fixture;
+  const TimePoint start{};
+  fixture.mirror.Start(start);
+  fixture.store.Answer(OkReply({Item("p/a", 3)}, 10));
+  fixture.mirror.Tick(start + milliseconds(500));
+  fixture.store.Answer(StatusReply(StoreStatus::kMissing));
+  REQUIRE(fixture.mirror.confirmed_at() == start);
+  fixture.store.Answer(OkReply({Item("p/a", 20)}, 30));
+  REQUIRE(fixture.mirror.confirmed_at() == start + milliseconds(500));
+}
+
 TEST_CASE("replies to calls sent before a stop are ignored", "[store]") {
   Fixture fixture;
   fixture.mirror.Start(TimePoint{});
