--- a/tests/emulator/owner_changes_test.cc
+++ b/tests/emulator/owner_changes_test.cc
@@ -18,8 +18,7 @@
 /// One cell whose only long-running task has lost its target, while the owner stops gracefully.
 class LostTarget {
  public:
-  /// \param restart_hosts restart all hosts but the owner after the loss, so that none of them
-  /// knows
+  /// \param restart_hosts restart all hosts but the owner after the loss, so that none knows
   ///   the target's address
   explicit LostTarget(bool restart_hosts = false) : cluster(OneCell()) {
     this->cluster.Run(seconds(2));
