Answer counts of waiting submissions only on a current configuration

Eight of the answers were counts of queues that the configuration no longer had. Cause: a host whose copy of the configuration was old turned away requests without a queue, but still answered counts for the queues it knew. Change: such a count is answered as unavailable, configuration-old, as requests without a queue are.

--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -60,19 +60,21 @@
     done(this->Unavailable("no-configuration"));
     return;
   }
+  const bool outdated =
+      now - active_configuration.confirmed_at > this->settings.max_configuration_age;
   if (const auto* submit = std::get_if<SubmitRequest>(&request)) {
     this->Submit(*submit, active_configuration, view, now, wall, done);
   } else if (const auto* state = std::get_if<StateRequest>(&request)) {
     this->ReadState(state->id, done);
   } else if (const auto* cancel = std::get_if<CancelRequest>(&request)) {
     this->Cancel(cancel->id, now, done);
+  } else if (std::holds_alternative<PendingRequest>(request) && outdated) {
+    done(this->Unavailable("configuration-old"));
   } else if (const auto* pending = std::get_if<PendingRequest>(&request)) {
     CallerAnswer answer = internal::MakeAnswer(Outcome::kPending);
     answer.pending = view.PendingOf(pending->queue);
     done(answer);
   } else if (std::holds_alternative<UnroutedRequest>(request)) {
-    const bool outdated =
-        now - active_configuration.confirmed_at > this->settings.max_configuration_age;
     done(outdated ? this->Unavailable("configuration-old")
                   : internal::MakeAnswer(Outcome::kNoSuchQueue));
   } else {
