Send no first start to a target that does not answer

Callers would see: TWICE, if the target restarts under its id and is cut off before its next hold. Cause: a start to a silent target carried the lease end of the incarnation that was known, which may lie far ahead on the clock of a new one. Change: the first start waits for no silent target; the task is assigned anew. Measured: a new case of test_scheduling passes; not run on the code before.

--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -167,8 +167,10 @@
   const TargetTime left =
       *target->lease_deadline - EstimateClock(*target, now, this->settings.clock_drift);
   const bool enough_left = left >= this->settings.min_lease_at_start;
-  return resent || enough_left || target->failed_holds > 0 ? target->lease_deadline
-                                                           : this->ExtendLease(target, now);
+  if (!resent && target->failed_holds > 0) {
+    return std::nullopt;
+  }
+  return resent || enough_left ? target->lease_deadline : this->ExtendLease(target, now);
 }
 
 bool Cell::MayExtendLeases(TimePoint now) const {
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -249,6 +249,25 @@
   REQUIRE(*hold->second.deadline > *fixture.Reply().clock + seconds(2));
 }
 
+TEST_CASE("no start is sent to a target that went silent after the assignment", "[cell][holds]") {
+  CellFixture fixture;
+  fixture.Advance(milliseconds(1));
+  fixture.AnswerHold(fixture.Reply());
+  fixture.Submit();
+  fixture.now += milliseconds(20);
+  fixture.cell.ConfirmOwnership(fixture.now);
+  fixture.cell.Tick(fixture.now, WallTime(0));
+  const auto batch = fixture.cell.NextCommit(fixture.now);
+  REQUIRE(batch);
+  for (OutgoingOrder& order : fixture.cell.TakeOrders()) {
+    fixture.sent.push_back(std::move(order));
+  }
+  fixture.AnswerHold(HoldReply{});
+  fixture.cell.OnCommitted(batch->number, fixture.now);
+  fixture.Advance(milliseconds(20));
+  REQUIRE_FALSE(fixture.Take<StartOrder>());
+}
+
 TEST_CASE("a target that answers each hold a second late keeps its runs", "[cell][holds]") {
   CellFixture fixture;
   fixture.estimate = std::chrono::minutes(2);
