Keep the place of a task that left a draining target until it is placed

Cause: the place was kept while the run was being stopped. Once it had ended, another starved task came first, or one with the same needs that found no target ruled the task out. Change: places of displaced tasks are reserved before any starved step is placed; each such task goes to its destination if it fits there, and none is ruled out by others.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -193,7 +193,8 @@
   /// \returns nothing if the target's clock is unknown or the store has not answered for too long.
   std::optional<TargetTime> ExtendLease(Target* target, TimePoint now);
   /// \returns the end of the lease for the start of a run: the present one if \a resent is set or
-  ///   enough of it is left, else that of `ExtendLease`.
+  ///   enough of it is left, else that of `ExtendLease`; nothing for the first start to a target
+  ///   that does not answer.
   std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
   /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
   bool MayExtendLeases(TimePoint now) const;
@@ -323,8 +324,15 @@
   void LogEvacuationWait(Target* target, const TaskKey& key, TimePoint now);
   /// Stops runs on draining targets that end by themselves but not in time, and that fit elsewhere.
   void MoveRunsOffDrainingTargets(TimePoint now);
-  /// Reserves resources for the waiting tasks of a starved step, see `ReserveResources`.
-  void ReserveForStep(const PendingStep& pending, TimePoint now);
+  /// Reserves resources for the waiting tasks of a starved step that had a run and have no
+  /// reservation yet, see `ReserveResources`.
+  /// \param with_destination only for tasks that have a destination
+  void ReserveForStep(const PendingStep& pending, bool with_destination, TimePoint now);
+  /// \returns true if a waiting task of the step has a destination, where resources are kept for
+  /// it.
+  static bool HasDestination(const PendingStep& pending);
+  /// Removes the reservation of a task that has a destination, if there is one.
+  void ReleaseReservation(const Submission& submission, const TaskKey& key, const Task& task);
   /// Reserves resources for a long-running task, among the targets where it fits once the short
   /// tasks have ended: on its destination, else on the one that has the most left. Does nothing if
   /// there is none.
--- a/pistachio/process/scheduling/cell_evacuation.cc
+++ b/pistachio/process/scheduling/cell_evacuation.cc
@@ -33,13 +33,38 @@
 
 }  // namespace internal
 
-void Cell::ReserveForStep(const PendingStep& pending, TimePoint now) {
+void Cell::ReserveForStep(const PendingStep& pending, bool with_destination, TimePoint now) {
   const std::vector<Task>& tasks =
       pending.submission->occurrences.at(pending.occurrence).steps[pending.step].tasks;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].phase == TaskPhase::kWaiting && tasks[index].run_seen_at) {
-      const TaskKey key{pending.submission->accepted.id, pending.occurrence, pending.step, index};
-      this->ReserveResources(*pending.submission, key, tasks[index], now);
+    const Task& task = tasks[index];
+    if (task.phase != TaskPhase::kWaiting || !task.run_seen_at ||
+        (with_destination && task.destination.empty())) {
+      continue;
+    }
+    const TaskKey key{pending.submission->accepted.id, pending.occurrence, pending.step, index};
+    this->ReleaseReservation(*pending.submission, key, task);
+    this->ReserveResources(*pending.submission, key, task, now);
+  }
+}
+
+bool Cell::HasDestination(const PendingStep& pending) {
+  const std::vector<Task>& tasks =
+      pending.submission->occurrences.at(pending.occurrence).steps[pending.step].tasks;
+  return pending.sort_key.starved && std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
+           return task.phase == TaskPhase::kWaiting && !task.destination.empty();
+         });
+}
+
+void Cell::ReleaseReservation(const Submission& submission, const TaskKey& key, const Task& task) {
+  if (task.destination.empty()) {
+    return;
+  }
+  for (auto& [id, target] : this->targets) {
+    const auto found = std::find(target.reserved_for.begin(), target.reserved_for.end(), key);
+    if (found != target.reserved_for.end()) {
+      target.reserved_for.erase(found);
+      target.reserved -= internal::CountedResources(submission.Step(key.step));
     }
   }
 }
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -94,8 +94,14 @@
     target.reserved_for.clear();
   }
   this->KeepDestinations(now);
+  const std::vector<PendingStep> pending_steps = this->CollectPendingSteps(now);
+  for (const PendingStep& pending : pending_steps) {
+    if (pending.sort_key.starved) {
+      this->ReserveForStep(pending, true, now);
+    }
+  }
   bool evacuated = false;
-  for (const PendingStep& pending : this->CollectPendingSteps(now)) {
+  for (const PendingStep& pending : pending_steps) {
     // Starved steps come first: their tasks have no run, unlike those on draining targets.
     if (!evacuated && !pending.sort_key.starved) {
       this->EvacuateLongRunningTasks(now);
@@ -103,11 +109,13 @@
     }
     const StepSpec& spec = pending.submission->Step(pending.step);
     const ServiceId service = this->ServiceOf(*pending.submission);
-    const bool ruled_out = std::any_of(
-        unplaceable.begin(), unplaceable.end(),
-        [&](const UnplaceableTask& earlier) { return earlier.RulesOut(spec, service); });
+    const bool ruled_out =
+        !HasDestination(pending) &&
+        std::any_of(unplaceable.begin(), unplaceable.end(), [&](const UnplaceableTask& earlier) {
+          return earlier.RulesOut(spec, service);
+        });
     if (ruled_out && pending.sort_key.starved) {
-      this->ReserveForStep(pending, now);
+      this->ReserveForStep(pending, false, now);
     }
     if (ruled_out || this->WaitsForWhole(pending, now)) {
       continue;
@@ -115,7 +123,7 @@
     const bool all_placed =
         spec.gang ? this->PlaceGang(pending, now) : this->PlaceTasks(pending, now);
     if (!all_placed && pending.sort_key.starved) {
-      this->ReserveForStep(pending, now);
+      this->ReserveForStep(pending, false, now);
     }
     if (!all_placed && !spec.gang && spec.max_per_target == 0) {
       unplaceable.push_back(
@@ -170,6 +178,7 @@
         continue;
       }
       const TaskKey key{pending.submission->accepted.id, pending.occurrence, pending.step, index};
+      this->ReleaseReservation(*pending.submission, key, task);
       Target* target = this->ChooseTarget(*pending.submission, key, task, now);
       if (target == nullptr) {
         return false;
@@ -271,6 +280,9 @@
       best = &target;
       best_score = score;
     }
+    if (id == task.destination) {
+      return &target;
+    }
   }
   return best;
 }
--- a/tests/scheduling/reservation_test.cc
+++ b/tests/scheduling/reservation_test.cc
@@ -213,6 +213,33 @@
   REQUIRE(fixture.starts == std::set<std::string>{"00000000000000a1.0.0.0"});
 }
 
+TEST_CASE("tasks that left a draining target together each get the place found for them",
+          "[cell][reservation]") {
+  ReservationFixture fixture;
+  fixture.Load("00000000000000a1", LongRunningStep({3000, 100, 0}), {"draining"});
+  fixture.Load("00000000000000a2", LongRunningStep({1000, 100, 0}), {"draining"});
+  fixture.Load("00000000000000b1", LongRunningStep({1000, 100, 0}), {"wide"});
+  fixture.Load("00000000000000b2", LongRunningStep({3000, 100, 0}), {"narrow"});
+  fixture.Load("00000000000000a0", LongRunningStep({3000, 100, 0}), {"unlisted"});
+  for (const char* target : {"draining", "wide", "narrow", "unlisted"}) {
+    fixture.PutTarget(target);
+  }
+  fixture.FinishLoading();
+  fixture.PutTarget("draining", TargetState::kDraining);
+  fixture.Run(milliseconds(50));
+  REQUIRE(fixture.stops.size() == 2);
+  // A third task becomes starved while the two are being stopped.
+  fixture.cell.RemoveTarget(TargetId("unlisted"), fixture.now);
+  fixture.EndRun("unlisted", RunOutcome::kFailed);
+  fixture.Run(seconds(2));
+  REQUIRE(fixture.starts.empty());
+  fixture.EndRun("draining", RunOutcome::kStopped);
+  fixture.EndRun("draining", RunOutcome::kStopped);
+  fixture.Run(milliseconds(200));
+  REQUIRE(fixture.starts ==
+          std::set<std::string>{"00000000000000a1.0.0.0", "00000000000000a2.0.0.0"});
+}
+
 TEST_CASE("memory kept for a starved task is not given to best-effort tasks",
           "[cell][reservation]") {
   ReservationFixture fixture;
