Run the fuzz of the emulator beside its other cases

Cause: test_emulator grew by about 21 s in the release build, and with the address sanitizer it takes most of its limit of 900 s. Change: CTest runs the program twice, with and without the tag fuzz.

--- a/cmake/pistachio.cmake
+++ b/cmake/pistachio.cmake
@@ -45,9 +45,10 @@
 # Builds every test program, without benchmarks and tools.
 add_custom_target(pistachio_tests)
 
-# pistachio_test(NAME [DEPENDS ...]): declares the test program test_NAME of a library from tests/NAME/*.cc.
+# pistachio_test(NAME [SLOW_TAG TAG] [DEPENDS ...]): declares the test program test_NAME of a library from
+# tests/NAME/*.cc. CTest runs the cases with the tag TAG beside the others, as a test of its own.
 function(pistachio_test name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "SLOW_TAG" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
   if(NOT sources)
     return()
@@ -56,9 +57,16 @@
   target_include_directories(test_${name} PRIVATE ${PROJECT_SOURCE_DIR})
   target_link_libraries(test_${name} PRIVATE ${ARG_DEPENDS} Catch2::Catch2 rapidcheck pistachio_options)
   add_dependencies(pistachio_tests test_${name})
-  add_test(NAME ${name} COMMAND test_${name} --rng-seed 1)
+  set(tests ${name})
+  if(ARG_SLOW_TAG)
+    add_test(NAME ${name} COMMAND test_${name} --rng-seed 1 "~[${ARG_SLOW_TAG}]~[.]")
+    add_test(NAME ${name}_${ARG_SLOW_TAG} COMMAND test_${name} --rng-seed 1 "[${ARG_SLOW_TAG}]")
+    list(APPEND tests ${name}_${ARG_SLOW_TAG})
+  else()
+    add_test(NAME ${name} COMMAND test_${name} --rng-seed 1)
+  endif()
   # RapidCheck reads its seed from RC_PARAMS. A fixed seed generates the same cases in every run.
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100" TIMEOUT 900)
+  set_tests_properties(${tests} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100" TIMEOUT 900)
 endfunction()
 
 # pistachio_bench(NAME [DEPENDS ...]): declares the benchmark program bench_NAME from bench/NAME/*.cc.
