Keep a run that an outstanding start may begin again in the next incarnation

Callers would see: TWICE. Cause: when a target came back under its id, a run that a list had shown was requeued at once and started elsewhere. If one of its starts had had no answer, that send could still be on its way. The next incarnation has seen no fencing token and carries it out. Change: such a run stays assigned to the next incarnation and is stopped there. It is requeued once a stop has been accepted, after which the incarnation rejects the start, and a later list does not show the run. An answer to a stop that was sent to an earlier incarnation counts no more, and neither does the absence of a run from a list while one of its starts may still arrive. Price: such a run starts again one stop and one list later. Runs without an unanswered start are requeued at once, as before. What remains: a run that was requeued before the restart has no task on the target. A late start of it is barred by a stop only, and may be carried out until that stop arrives.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -168,6 +168,8 @@
   /// Resets what is known of a restarted target and requeues the runs that ended with the restart.
   void BeginIncarnation(Target* target, std::uint64_t incarnation, TimePoint now,
                         const char* cause);
+  /// \returns true if a start of the task's run that was sent may not have arrived yet.
+  bool MayStillStart(const Target& target, const TaskKey& key, const Task& task) const;
   /// Requeues the runs of unregistered targets that \a entry has replaced at their address.
   void RequeueRunsOfReplacedTargets(const TargetEntry& entry, TimePoint now);
   /// Requeues all runs of a target whose runs have ended for certain.
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -270,7 +270,12 @@
     const bool must_be_reported = task->phase != TaskPhase::kAssigned &&
                                   task->incarnation == target->CurrentIncarnation() &&
                                   hold_number > task->absent_after_hold;
-    if (must_be_reported && reported_runs.count(key) == 0) {
+    if (!must_be_reported || reported_runs.count(key) != 0) {
+      continue;
+    }
+    if (task->phase != TaskPhase::kStopping && this->MayStillStart(*target, key, *task)) {
+      this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else {
       this->Requeue(submission, key, task, "not-there", now);
       this->EndIfFinished(submission);
     }
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -64,21 +64,31 @@
 void Cell::BeginIncarnation(Target* target, std::uint64_t incarnation, TimePoint now,
                             const char* cause) {
   // A start names only the target's id, which the new incarnation may share. Therefore the new
-  // incarnation may have carried out a start that was sent but whose run is not reported yet. Its
-  // lists of running and finished runs decide whether such a run is lost.
+  // incarnation may have carried out, or may still carry out, a start that was sent. Its lists of
+  // running and finished runs, and its answers to stops, decide whether such a run is lost.
   for (const TaskKey& key : std::set<TaskKey>(target->tasks)) {
     Submission* submission = this->FindSubmission(key.submission);
     Task* task = submission->FindTask(key);
-    const bool lost = task->reported || task->phase == TaskPhase::kAssigned;
+    const bool may_still_start = this->MayStillStart(*target, key, *task);
+    const bool lost = task->phase == TaskPhase::kAssigned || (task->reported && !may_still_start);
     if (lost) {
       this->Requeue(submission, key, task, cause, now);
       this->EndIfFinished(submission);
       continue;
     }
     task->incarnation.number = incarnation;
-    if (task->phase == TaskPhase::kRunning) {
+    if (task->phase == TaskPhase::kStopping) {
+      // The earlier incarnation's answer to the stop does not bind this one.
+      task->absent_after_hold = internal::kListsInconclusive;
+      task->retry_at = now;
+      task->order_in_flight = false;
+      this->tasks_with_orders.insert(key);
+    } else if (task->reported) {
+      this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else if (task->phase == TaskPhase::kRunning) {
       task->absent_after_hold = target->holds_sent;
     }
+    task->reported = false;
     this->MarkDirty(key.submission, true);
   }
   this->Log(EventCode::kTargetRestarted, {{"cell", this->cell_id.str()},
@@ -102,6 +112,17 @@
   target->next_hold_at = now;
 }
 
+bool Cell::MayStillStart(const Target& target, const TaskKey& key, const Task& task) const {
+  if (target.unconfirmed_starts.count({key, task.run}) != 0) {
+    return true;
+  }
+  return std::any_of(this->sent_orders.begin(), this->sent_orders.end(), [&](const auto& entry) {
+    const internal::SentOrder& sent = entry.second;
+    return sent.kind == internal::SentOrder::Kind::kStart && sent.target == target.entry.id &&
+           sent.task == key && sent.run == task.run;
+  });
+}
+
 void Cell::RequeueLostRuns(Target* target, TimePoint now, const char* cause) {
   if (target->tasks.empty()) {
     return;
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -1,18 +1,9 @@
 #include <algorithm>
-#include <limits>
 
 #include "pistachio/process/scheduling/cell.h"
 
 namespace pistachio {
 
-namespace internal {
-
-/// Value of `Task::absent_after_hold` while a list without the run does not prove that the run is
-/// gone.
-constexpr std::uint64_t kListsInconclusive = std::numeric_limits<std::uint64_t>::max();
-
-}  // namespace internal
-
 void Cell::EnqueueOrder(const Target& target, decltype(Order::order) order, Duration timeout,
                         internal::SentOrder sent) {
   const OrderTicket ticket = this->next_ticket++;
@@ -245,9 +236,9 @@
   Submission* submission = this->FindSubmission(sent.task.submission);
   Task* task =
       submission == nullptr || sent.orphaned_run ? nullptr : submission->FindTask(sent.task);
-  const bool is_current = task != nullptr && task->run == sent.run &&
-                          task->phase == TaskPhase::kStopping &&
-                          task->incarnation.target == sent.target;
+  const bool is_current =
+      task != nullptr && task->run == sent.run && task->phase == TaskPhase::kStopping &&
+      task->incarnation.target == sent.target && target->incarnation == sent.incarnation;
   if (!is_current) {
     return;
   }
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -150,6 +152,10 @@
 
 namespace internal {
 
+/// Value of `Task::absent_after_hold` while a list without the run does not prove that the run is
+/// gone.
+constexpr std::uint64_t kListsInconclusive = std::numeric_limits<std::uint64_t>::max();
+
 /// A start that got no answer and may still take effect, also in a later incarnation of the target.
 struct UnconfirmedStart {
   TimePoint valid_until{};  ///< the start can no longer take effect from then on
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -192,6 +192,52 @@
   return fixture.cell.submissions().at(kSubmission).occurrences.at(0).steps[0].tasks[0];
 }
 
+TEST_CASE("a run ends for certain only once the next incarnation has refused its lost starts",
+          "[cell][holds]") {
+  // The first send of the start may reach the next incarnation, which has seen no token.
+  CellFixture fixture;
+  const OrderTicket first = fixture.PlaceTask();
+  fixture.cell.OnOrderReply(first, OrderReply{}, fixture.now);
+  fixture.Advance(milliseconds(150));
+  const auto second = fixture.Take<StartOrder>();
+  REQUIRE(second);
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(second->first, done, fixture.now);
+  HoldReply listed = fixture.Reply();
+  listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.AnswerHold(listed);
+  REQUIRE(TaskOf(fixture).reported);
+
+  SECTION("the late start has not arrived") {
+    fixture.Advance(milliseconds(10));
+    fixture.AnswerHold(fixture.Reply(kIncarnation + 1));
+    REQUIRE(TaskOf(fixture).run == 1);
+    REQUIRE(TaskOf(fixture).HoldsResources());
+    fixture.Advance(milliseconds(10));
+    const auto stop = fixture.Take<StopOrder>();
+    REQUIRE(stop);
+    REQUIRE(stop->second.run == 1);
+    fixture.cell.OnOrderReply(stop->first, done, fixture.now);
+    // This hold may have been answered before the stop arrived.
+    fixture.AnswerHold(fixture.Reply(kIncarnation + 1));
+    REQUIRE(TaskOf(fixture).HoldsResources());
+    fixture.Advance(milliseconds(10));
+    fixture.AnswerHold(fixture.Reply(kIncarnation + 1));
+    fixture.Advance(milliseconds(30));
+    REQUIRE(TaskOf(fixture).run == 2);
+    REQUIRE(fixture.Take<StartOrder>());
+  }
+  SECTION("the late start has been carried out") {
+    fixture.Advance(milliseconds(10));
+    listed.incarnation = kIncarnation + 1;
+    fixture.AnswerHold(listed);
+    REQUIRE(TaskOf(fixture).run == 1);
+    REQUIRE(TaskOf(fixture).HoldsResources());
+    REQUIRE(TaskOf(fixture).incarnation.number == kIncarnation + 1);
+  }
+}
+
 TEST_CASE("an assignment to a target without a lease waits for its commit", "[cell][holds]") {
   // In a store outage no lease is extended, and the commit of an assignment has no answer.
   CellFixture fixture;
