Give up a task that crashes its targets, and start suspects apart

Cause: only ends that a target reports count as attempts, and a crash reports none. Class: a failure without a report has no budget. Change: when a target is lost, the runs that it had not shown alive for 2 s are suspected. A crash counts against them once it is proven: by an answer of another process at the address, by a later registration there, also after the lease has expired, or by a later incarnation. A suspected task starts apart: on a target with no other start in the last 0.5 s, the least loaded one, which gets no other run until the suspect has ended or lasted 2 s, which clears it. A task is given up after two crashes if it was apart during the last one, and after four in any case; its submission fails. Targets lost together (a rack, power, a cut) count against nobody, and neither does the exit of a draining target. The count is part of the progress record, as an element that the version before skips, so a new owner goes on with it. A start that may have crashed its target is not sent again to the next incarnation. New cases of test_scheduling: given up after two crashes (return after 3 and 9 s), over changes of owner, long-running tasks beside it, crashes for other reasons, starts apart, outages.

--- a/pistachio/process/node/metrics.cc
+++ b/pistachio/process/node/metrics.cc
@@ -101,6 +101,8 @@
     set(this->state->cell_orders, "ends_failed", static_cast<double>(counts.ends_failed));
     set(this->state->cell_orders, "ends_other", static_cast<double>(counts.ends_other));
     set(this->state->cell_orders, "targets_lost", static_cast<double>(counts.targets_lost));
+    set(this->state->cell_orders, "targets_crashed", static_cast<double>(counts.targets_crashed));
+    set(this->state->cell_orders, "tasks_given_up", static_cast<double>(counts.tasks_given_up));
   }
 }
 
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -49,6 +49,8 @@
   kSubmissionEnded = 3110,
   kSubmissionMoved = 3111,
   kMoveRejected = 3112,
+  kTaskSuspected = 3113,
+  kTaskCleared = 3114,
   kTargetListed = 3201,
   kTargetUnlisted = 3202,
   kTargetSilent = 3203,
@@ -60,6 +62,7 @@
   kCellLoad = 3209,
   kTargetRestarted = 3210,
   kEvacuationWaits = 3211,
+  kTargetCrashed = 3212,
 
   // 4000: requests (events/request_events.cc)
   kCallerAnswered = 4101,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -32,7 +32,9 @@
        "The owner has read the caller's request to cancel a submission and stops what still runs "
        "of it."},
       {EventCode::kSubmissionFailed, Severity::kWarning, "submission-failed",
-       "A task has failed as often as its queue allows, so its submission fails."},
+       "A task has failed as often as its queue allows, or has crashed the targets that started "
+       "it, "
+       "so its submission fails."},
       {EventCode::kSubmissionEnded, Severity::kInfo, "submission-ended",
        "No task of the submission runs any more; callers can read its final state."},
       {EventCode::kSubmissionMoved, Severity::kInfo, "submission-moved",
@@ -44,6 +46,13 @@
       {EventCode::kMoveRejected, Severity::kInfo, "move-rejected",
        "A move of submissions to another cell had no effect, usually because one of them was "
        "cancelled at the same time. They stay in their cell."},
+      {EventCode::kTaskSuspected, Severity::kWarning, "task-suspected",
+       "A target crashed soon after it had started a run of the task. The next run starts on a "
+       "target that starts nothing else at that time; if that target crashes too, the task is "
+       "given up."},
+      {EventCode::kTaskCleared, Severity::kInfo, "task-cleared",
+       "A run of a suspected task has lasted long enough to show that the task does not crash its "
+       "target."},
       {EventCode::kTargetListed, Severity::kInfo, "target-listed",
        "A target has registered or changed its state."},
       {EventCode::kTargetUnlisted, Severity::kWarning, "target-unlisted",
@@ -74,6 +83,11 @@
       {EventCode::kEvacuationWaits, Severity::kInfo, "evacuation-waits",
        "A run has to leave a draining target before the target exits, but no other target has room "
        "for it; logged once for each target that drains."},
+      {EventCode::kTargetCrashed, Severity::kWarning, "target-crashed",
+       "A target with runs was lost. In an outage of several targets none of its runs is "
+       "suspected. "
+       "`proven` says whether a later process at its place shows that it crashed; otherwise the "
+       "target may only be cut off."},
   };
   return kEvents;
 }
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -62,6 +62,7 @@
         if (!task.HoldsResources()) {
           if (task.phase == TaskPhase::kWaiting && task.run > 0) {
             task.run_seen_at = TimePoint{};
+            task.phase_since = now;
           }
           continue;
         }
@@ -92,6 +93,9 @@
   // incarnation counts.
   target.incarnation = std::max(target.incarnation, task->incarnation.number);
   this->UpdateLoad(&target, key, submission->Step(key.step), 1);
+  if (task->crash_record.suspect) {
+    target.suspect_task = key;
+  }
 }
 
 TimePoint Cell::InheritedLeaseExpiry(const TargetId& target) const {
@@ -115,8 +119,17 @@
   this->loaded = true;
   this->schedule_due = true;
   for (auto& [id, target] : this->targets) {
+    std::vector<internal::LostRun> lost_runs;
     for (const TaskKey& key : target.tasks) {
-      this->FindSubmission(key.submission)->FindTask(key)->incarnation.number = target.incarnation;
+      Task& task = *this->FindSubmission(key.submission)->FindTask(key);
+      // The target has restarted since the earlier owner assigned the run.
+      if (task.incarnation.number < target.incarnation) {
+        lost_runs.push_back(internal::LostRun{key, false, task.crash_record.isolated});
+      }
+      task.incarnation.number = target.incarnation;
+    }
+    if (!lost_runs.empty()) {
+      this->CountCrash(lost_runs, id);
     }
   }
   for (const auto& [id, target] : this->targets) {
@@ -182,6 +195,7 @@
     return;
   }
   this->ExpireLeases(now);
+  this->EndCrashedSubmissions(now);
   this->AddDueOccurrences();
   const Duration since = now - this->last_schedule_at;
   if ((this->schedule_due && since >= internal::kMinScheduleInterval) ||
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -210,6 +210,30 @@
   ///   fraction \a drift.
   static TargetTime EstimateClock(const Target& target, TimePoint now, double drift);
 
+  // Tasks that crash their targets (cell_crashes.cc).
+  /// \returns the runs on the target that had not lasted for `CrashSettings::suspicion_time` when
+  ///   the target last answered.
+  std::vector<internal::LostRun> RecentRuns(const Target& target);
+  /// \returns true if the target was lost together with others, as in a loss of power or of a
+  ///   rack, so that no run of its own explains the loss.
+  bool LostInOutage(const Target& target, TimePoint now) const;
+  /// Suspects the recent runs of a target that was lost, and counts the crash against them if
+  /// \a proven. Called before the runs are requeued.
+  void RecordLoss(Target* target, bool proven, TimePoint now);
+  /// Counts a crash against the tasks of \a runs. Submissions of tasks with too many crashes fail.
+  void CountCrash(const std::vector<internal::LostRun>& runs, const TargetId& target);
+  /// Counts the crash of a target whose lease had expired before it registered again.
+  void CountUnprovenCrash(const TargetEntry& entry, TimePoint now);
+  /// Forgets the suspicion against the task of a run that has lasted long enough.
+  void ClearSuspicion(Target* target, const TaskKey& key, Task* task, TimePoint now);
+  /// Stops and ends the submissions that failed because of crashes.
+  void EndCrashedSubmissions(TimePoint now);
+  /// \returns true if no run was started on the target for `CrashSettings::quiet_time`.
+  bool IsQuiet(const Target& target, TimePoint now);
+  /// \returns true if the task has to be started apart from others and may still wait for a target
+  ///   where it can be.
+  bool WaitsForQuietTarget(const Task& task, TimePoint now) const;
+
   // Lists of running and finished runs (cell_lists.cc).
   void HandleFinishedRun(Target* target, const FinishedRun& end, TimePoint now);
   /// Marks a task as done whose earlier run has ended successfully although its lease was thought
@@ -384,10 +408,13 @@
   TimePoint bounds_written_at{};           ///< when the last bounds were computed for a write
   /// Store revisions of the moves of submissions to other cells.
   std::map<SubmissionId, std::uint64_t> moved_away;
-  std::deque<SubmissionId> moved_away_order;  ///< oldest first, to bound the memory
-  TimePoint other_cells_seen_at{};            ///< when there was last another cell with an owner
-  TimePoint acquired_at{};                    ///< when this process became the owner
-  TimePoint ownership_confirmed_at{};         ///< see `ConfirmOwnership`
+  std::map<std::string, internal::UnprovenCrash> unproven_crashes;  ///< by the target's address
+  std::deque<TargetLoss> recent_losses;           ///< oldest first, see `CrashSettings`
+  std::vector<SubmissionId> crashed_submissions;  ///< failed, for `EndCrashedSubmissions`
+  std::deque<SubmissionId> moved_away_order;      ///< oldest first, to bound the memory
+  TimePoint other_cells_seen_at{};     ///< when there was last another cell with an owner
+  TimePoint acquired_at{};             ///< when this process became the owner
+  TimePoint ownership_confirmed_at{};  ///< see `ConfirmOwnership`
   TimePoint last_commit_at{};
   TimePoint last_schedule_at{};
   TimePoint next_load_log_at{};
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -24,6 +24,7 @@
     return;
   }
   if (reply.status != OrderStatus::kDone) {
+    target->silent_since = target->failed_holds == 0 ? now : target->silent_since;
     target->failed_holds++;
     target->next_hold_at = now + this->settings.hold_retry_delay;
     if (target->failed_holds == this->settings.health.max_failed_holds) {
@@ -47,6 +48,7 @@
   }
   target->failed_holds = 0;
   target->answered = true;
+  this->unproven_crashes.erase(target->entry.address);
   target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
   this->UpdateClock(target, reply.clock, now);
   const bool complete = reply.finished.size() < kMaxFinishedPerReply;
@@ -209,6 +211,9 @@
       this->BeginStop(row.task, task, StopReason::kCancelled, now);
     }
   }
+  if (task->phase == TaskPhase::kRunning) {
+    this->ClearSuspicion(target, row.task, task, now);
+  }
   this->CheckProgress(target, row, submission, task, now);
 }
 
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -180,6 +180,9 @@
       const TaskKey key{pending.submission->accepted.id, pending.occurrence, pending.step, index};
       this->ReleaseReservation(*pending.submission, key, task);
       Target* target = this->ChooseTarget(*pending.submission, key, task, now);
+      if (target == nullptr && this->WaitsForQuietTarget(task, now)) {
+        continue;
+      }
       if (target == nullptr) {
         return false;
       }
@@ -225,7 +228,8 @@
 
 bool Cell::TakesWork(const Target& target, TimePoint now) const {
   return target.registered && target.entry.state == TargetState::kReady && target.reconciled &&
-         target.clock && target.failed_holds < this->settings.health.max_failed_holds &&
+         !target.suspect_task && target.clock &&
+         target.failed_holds < this->settings.health.max_failed_holds &&
          target.health.MayStart(now) && !this->HasLeaseBound(target.entry.id);
 }
 
@@ -259,7 +263,8 @@
         !FitsOn(need, target.load, this->interference_model, this->settings.placement)) {
       continue;
     }
-    if (this->IsAtStepLimit(target, spec, key)) {
+    if (this->IsAtStepLimit(target, spec, key) ||
+        (this->WaitsForQuietTarget(task, now) && !this->IsQuiet(target, now))) {
       continue;
     }
     Resources used_or_reserved = target.load.used + target.reserved + spec.need;
@@ -269,8 +274,11 @@
     if (!target.reserved_for.empty() && !used_or_reserved.FitsIn(target.load.capacity)) {
       continue;
     }
+    // A suspect goes where a crash would do the least harm.
     double score =
-        PlacementScore(need, target.load, this->interference_model, this->settings.placement);
+        task.crash_record.suspect
+            ? LoadShare(target.load)
+            : PlacementScore(need, target.load, this->interference_model, this->settings.placement);
     const std::vector<std::string>& labels = target.entry.labels;
     const bool off_rack = !spec.data_rack.empty() &&
                           std::find(labels.begin(), labels.end(), spec.data_rack) == labels.end();
@@ -299,6 +307,11 @@
   task->percent = 0.0;
   submission->occurrences.at(key.occurrence).steps[key.step].waiting--;
   submission->started = true;
+  if (task->crash_record.suspect) {
+    task->crash_record.isolated = this->IsQuiet(*target, now);
+    target->suspect_task = key;
+  }
+  target->last_assigned_at = now;
   this->UpdateLoad(target, key, submission->Step(key.step), 1);
   // The lease of an idle target may have expired. The start extends it, but is sent only after the
   // commit.
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -1,11 +1,20 @@
 #include <algorithm>
+#include <string_view>
 
 #include "pistachio/process/scheduling/cell.h"
 
 namespace pistachio {
 
+namespace internal {
+
+/// Cause of the loss of runs that is no proof of a crash.
+constexpr const char* kLeaseExpired = "hold-lapsed";
+
+}  // namespace internal
+
 void Cell::PutTarget(const TargetEntry& entry, TimePoint now) {
   this->RequeueRunsOfReplacedTargets(entry, now);
+  this->CountUnprovenCrash(entry, now);
   Target& target = this->targets[entry.id];
   if (target.entry.id.empty()) {
     // An earlier owner may have extended the lease of a target that is new to this owner.
@@ -63,6 +72,7 @@
 
 void Cell::BeginIncarnation(Target* target, std::uint64_t incarnation, TimePoint now,
                             const char* cause) {
+  this->RecordLoss(target, true, now);
   // A start names only the target's id, which the new incarnation may share. Therefore the new
   // incarnation may have carried out, or may still carry out, a start that was sent. Its lists of
   // running and finished runs, and its answers to stops, decide whether such a run is lost.
@@ -85,6 +95,9 @@
       this->tasks_with_orders.insert(key);
     } else if (task->reported) {
       this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else if (task->phase == TaskPhase::kStarting && task->crash_record.suspect) {
+      // The start may have crashed the target and is not sent again.
+      task->sends = this->settings.max_start_attempts;
     } else if (task->phase == TaskPhase::kRunning) {
       task->absent_after_hold = target->holds_sent;
     }
@@ -127,6 +140,8 @@
   if (target->tasks.empty()) {
     return;
   }
+  const bool proven = std::string_view(cause) != internal::kLeaseExpired;
+  this->RecordLoss(target, proven, now);
   this->counts.targets_lost++;
   this->Log(EventCode::kTargetRunsLost, {{"cell", this->cell_id.str()},
                                          {"target", target->entry.id.str()},
@@ -144,7 +159,7 @@
   std::vector<TargetId> removable;
   for (auto& [id, target] : this->targets) {
     if (now >= target.lease_expires_at) {
-      this->RequeueLostRuns(&target, now, "hold-lapsed");
+      this->RequeueLostRuns(&target, now, internal::kLeaseExpired);
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
         !target.hold_in_flight && now >= target.lease_expires_at) {
@@ -232,6 +247,9 @@
   } else {
     load.used -= counted;
     target->long_running_used -= spec.long_running ? counted : Resources{};
+    if (target->suspect_task == key) {
+      target->suspect_task.reset();
+    }
   }
   this->UpdateSharingLists(target);
 }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -27,7 +27,9 @@
     if (task->order_in_flight || now < task->retry_at) {
       continue;
     }
-    if (starting) {
+    if (starting && task->sends >= this->settings.max_start_attempts) {
+      this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else if (starting) {
       this->SendStart(submission, key, task, now);
     } else {
       this->SendStop(key, task, now);
@@ -288,6 +290,8 @@
   waiting.run = task->run;
   waiting.failures = task->failures;
   waiting.checkpoint = task->checkpoint;
+  waiting.crash_record = task->crash_record;
+  waiting.crash_record.isolated = false;
   waiting.phase_since = now;
   waiting.run_seen_at = task->run_seen_at;
   const Target* target = this->FindTarget(task->incarnation.target);
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pistachio/process/runtime/event_catalogue.h"
+#include "pistachio/process/scheduling/crash_blame.h"
 #include "pistachio/process/scheduling/move_choice.h"
 #include "pistachio/process/scheduling/orders.h"
 #include "pistachio/process/scheduling/placement.h"
@@ -103,6 +104,7 @@
   TargetHealthSettings health;
   StragglerSettings straggler;
   MoveSettings move;
+  CrashSettings crash;
 };
 
 /// \brief Number that matches an order to its answer, unique within one `Cell`.
@@ -148,6 +150,8 @@
   std::uint64_t ends_other = 0;     ///< runs that ended otherwise, such as stopped or lease expired
   std::uint64_t moves = 0;          ///< submissions moved to other cells
   std::uint64_t targets_lost = 0;   ///< times that all runs on a target were given up as ended
+  std::uint64_t targets_crashed = 0;  ///< crashes of targets, without those in outages
+  std::uint64_t tasks_given_up = 0;   ///< tasks that crashed too many targets
 };
 
 namespace internal {
@@ -190,6 +194,7 @@
   /// Holds since the last successful one that were not answered, or were rejected for a reason
   /// other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
+  TimePoint silent_since{};  ///< when `failed_holds` last rose from 0
   /// In this scheduling round, resources kept for `reserved_for`, which may not be free yet.
   Resources reserved;
   std::vector<TaskKey> reserved_for;
@@ -200,6 +205,9 @@
   /// Reported runs that no task of the cell accounts for, with the earliest time of the next stop.
   std::map<TaskKey, TimePoint> orphaned_runs;
   TargetHealth health;
+  TimePoint last_assigned_at{};  ///< when a run was last assigned
+  /// Suspected task of `CrashRecord` on the target, which gets no other run meanwhile.
+  std::optional<TaskKey> suspect_task;
   TimePoint draining_since{};           ///< when the registration changed to draining
   bool evacuation_wait_logged = false;  ///< `kEvacuationWaits` was logged for this drain
   TimePoint over_bound_since{};  ///< start of a tail's excess over its bound; the epoch if none
@@ -208,6 +216,20 @@
   TargetIncarnation CurrentIncarnation() const { return {this->entry.id, this->incarnation}; }
 };
 
+/// A run that a target was lost under. Whether the target has crashed is not known yet.
+struct LostRun {
+  TaskKey task;
+  bool confirmed = false;  ///< the target had confirmed the run
+  bool isolated = false;   ///< see `CrashRecord::isolated`
+};
+
+/// The runs that may have crashed a target whose lease has expired without an answer.
+struct UnprovenCrash {
+  std::uint64_t incarnation = 0;  ///< of the lost target
+  TimePoint lost_at{};            ///< when its lease expired
+  std::vector<LostRun> runs;
+};
+
 /// Context of an order that was sent, kept until its answer arrives.
 struct SentOrder {
   TargetId target;
--- /dev/null
+++ b/pistachio/process/scheduling/crash_blame.cc
@@ -0,0 +1,51 @@
+#include "pistachio/process/scheduling/crash_blame.h"
+
+#include <algorithm>
+
+namespace pistachio {
+
+namespace internal {
+
+bool HasLabel(const std::vector<std::string>& labels, const std::string& label) {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+/// \returns true if \a lost is at least \a min_count and at least the fraction \a min_share of
+///   \a total.
+bool IsLargeShare(std::size_t lost, std::size_t total, std::size_t min_count, double min_share) {
+  return lost >= min_count && static_cast<double>(lost) >= min_share * static_cast<double>(total);
+}
+
+}  // namespace internal
+
+bool IsOutage(const TargetLoss& loss, const std::vector<TargetLoss>& others,
+              const std::vector<std::vector<std::string>>& targets, const CrashSettings& settings) {
+  std::vector<const TargetLoss*> together;
+  for (const TargetLoss& other : others) {
+    const Duration apart = std::max(other.at - loss.at, loss.at - other.at);
+    if (!other.explained && apart <= settings.outage_window) {
+      together.push_back(&other);
+    }
+  }
+  if (internal::IsLargeShare(together.size(), targets.size(), settings.min_outage_targets,
+                             settings.min_outage_share)) {
+    return true;
+  }
+  return std::any_of(loss.labels.begin(), loss.labels.end(), [&](const std::string& label) {
+    const auto lost = std::count_if(together.begin(), together.end(), [&](const TargetLoss* other) {
+      return internal::HasLabel(other->labels, label);
+    });
+    const auto total = std::count_if(
+        targets.begin(), targets.end(),
+        [&](const std::vector<std::string>& labels) { return internal::HasLabel(labels, label); });
+    return internal::IsLargeShare(static_cast<std::size_t>(lost), static_cast<std::size_t>(total),
+                                  settings.min_rack_targets, settings.min_rack_share);
+  });
+}
+
+bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings) {
+  return record.crashes >= settings.max_crashes ||
+         (record.isolated && record.crashes >= settings.max_isolated_crashes);
+}
+
+}  // namespace pistachio
--- a/pistachio/process/scheduling/placement.cc
+++ b/pistachio/process/scheduling/placement.cc
@@ -68,6 +68,11 @@
                         settings.sharing);
 }
 
+double LoadShare(const TargetLoad& load) {
+  return std::max(internal::Share(load.used.cpu_millis, load.capacity.cpu_millis),
+                  internal::Share(load.used.memory_mib, load.capacity.memory_mib));
+}
+
 double PlacementScore(const PlacementRequest& need, const TargetLoad& load,
                       const InterferenceModel& model, const PlacementSettings& settings) {
   const double slow = settings.slow_penalty * std::max(0.0, load.slowness - 1.0);
--- a/pistachio/process/scheduling/placement.h
+++ b/pistachio/process/scheduling/placement.h
@@ -71,6 +71,10 @@
   ImageIndex image = 0;
 };
 
+/// \returns the fraction of the target's processors or memory that is in use, whichever is larger;
+///   1 if the target has none.
+double LoadShare(const TargetLoad& load);
+
 /// \returns the processors left for further best-effort tasks on a target, in thousandths of a
 ///   core: those that no task has requested and the idle share of the serving tasks, minus what
 ///   best-effort tasks there have requested. Negative if best-effort tasks have requested more.
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -181,6 +181,16 @@
   }
 }
 
+/// Reads the crash record of one task.
+void ReadSuspect(const Json& row, Submission* submission) {
+  Task* task =
+      submission->FindTask(TaskKey{submission->accepted.id, row.at(0).get<std::uint32_t>(),
+                                   row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>()});
+  if (task != nullptr) {
+    task->crash_record = CrashRecord{row.at(3).get<std::uint32_t>(), true, row.at(4).get<bool>()};
+  }
+}
+
 /// Reads all elements of a progress record but the first, which is the submission's state.
 void ReadProgress(const Json& row, Submission* submission) {
   submission->cancelled = row.at(1).get<bool>();
@@ -192,6 +202,12 @@
   for (const Json& occurrence : row.at(6)) {
     ReadOccurrence(occurrence, row.at(5), submission);
   }
+  // Records without suspects, and those of earlier versions, end here.
+  if (row.size() > 7) {
+    for (const Json& suspect : row.at(7)) {
+      ReadSuspect(suspect, submission);
+    }
+  }
 }
 
 }  // namespace internal
@@ -224,6 +240,7 @@
 std::string EncodeProgress(const Submission& submission) {
   internal::IncarnationTable targets;
   internal::Json occurrences = internal::Json::array();
+  internal::Json suspects = internal::Json::array();
   for (const auto& [number, occurrence] : submission.occurrences) {
     internal::Json steps = internal::Json::array();
     for (const StepProgress& step : occurrence.steps) {
@@ -234,14 +251,28 @@
       steps.push_back(std::move(tasks));
     }
     occurrences.push_back(internal::Json::array({number, std::move(steps)}));
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const std::vector<Task>& tasks = occurrence.steps[step].tasks;
+      for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const CrashRecord& record = tasks[index].crash_record;
+        if (record.suspect && tasks[index].phase != TaskPhase::kDone) {
+          suspects.push_back(
+              internal::Json::array({number, step, index, record.crashes, record.isolated}));
+        }
+      }
+    }
   }
   internal::Json ended = nullptr;
   if (submission.ended_at) {
     ended = submission.ended_at->count();
   }
-  return ToCborBytes(internal::Json::array(
+  internal::Json record = internal::Json::array(
       {static_cast<int>(submission.State()), submission.cancelled, submission.failed,
-       submission.started, ended, targets.json(), std::move(occurrences)}));
+       submission.started, ended, targets.json(), std::move(occurrences)});
+  if (!suspects.empty()) {
+    record.push_back(std::move(suspects));
+  }
+  return ToCborBytes(record);
 }
 
 bool DecodeProgress(const std::string& bytes, Submission* submission) {
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -49,6 +49,22 @@
 /// \returns the name of \a reason in logs.
 const char* NameOf(StopReason reason);
 
+/// \brief What is known of a task whose runs may crash their targets.
+struct CrashRecord {
+  /// Number of targets that are known to have crashed shortly after a run of the task had started.
+  std::uint32_t crashes = 0;
+  /// A target may have crashed under the task, and no run has lasted long enough since to show
+  /// that the task is harmless.
+  bool suspect = false;
+  /// No other run was started on the target of the current run shortly before it or since, so a
+  /// crash of the target is due to this one.
+  bool isolated = false;
+
+  friend bool operator==(const CrashRecord& a, const CrashRecord& b) {
+    return a.crashes == b.crashes && a.suspect == b.suspect && a.isolated == b.isolated;
+  }
+};
+
 /// \brief One task and its current run.
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -56,6 +72,7 @@
   TargetIncarnation incarnation;  ///< target incarnation of the current run; empty while waiting
   std::uint32_t failures = 0;     ///< number of failed runs
   std::string checkpoint;         ///< last reported checkpoint; empty if there is none
+  CrashRecord crash_record;       ///< of the targets that crashed under the task
 
   // The fields below are not stored. A new owner of the cell gets them from the target's replies.
   StopReason stop_reason = StopReason::kNone;
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -224,6 +224,9 @@
     REQUIRE(TaskOf(fixture).HoldsResources());
     fixture.Advance(milliseconds(10));
     fixture.AnswerHold(fixture.Reply(kIncarnation + 1));
+    REQUIRE(TaskOf(fixture).phase == TaskPhase::kWaiting);
+    // The task may have crashed the target, so it starts on a target that starts nothing else.
+    fixture.Advance(CrashSettings{}.quiet_time);
     fixture.Advance(milliseconds(30));
     REQUIRE(TaskOf(fixture).run == 2);
     REQUIRE(fixture.Take<StartOrder>());
--- /dev/null
+++ b/tests/scheduling/crash_blame_test.cc
@@ -0,0 +1,303 @@
+#include "pistachio/process/scheduling/crash_blame.h"
+
+#include <catch2/catch.hpp>
+
+#include "pistachio/process/scheduling/cell.h"
+
+namespace pistachio {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TargetLoss LossAt(milliseconds at, const std::string& rack, bool explained = false) {
+  return TargetLoss{TimePoint(at), {"kind", rack}, explained};
+}
+
+TEST_CASE("targets lost together are an outage, those lost by chance are not", "[crash_blame]") {
+  const CrashSettings settings;
+  std::vector<std::vector<std::string>> racks_of_ten(60);
+  for (std::size_t target = 0; target < racks_of_ten.size(); ++target) {
+    racks_of_ten[target] = {"kind", "rack-" + std::to_string(target / 10)};
+  }
+  const TargetLoss loss = LossAt(seconds(100), "rack-0");
+  const auto losses = [](int count, milliseconds at, const std::string& rack, bool explained) {
+    return std::vector<TargetLoss>(static_cast<std::size_t>(count), LossAt(at, rack, explained));
+  };
+  const milliseconds same_time(100200);
+  REQUIRE_FALSE(IsOutage(loss, {}, racks_of_ten, settings));
+  REQUIRE_FALSE(IsOutage(loss, losses(3, same_time, "rack-1", false), racks_of_ten, settings));
+  REQUIRE(IsOutage(loss, losses(4, same_time, "rack-1", false), racks_of_ten, settings));
+  REQUIRE_FALSE(IsOutage(loss, losses(9, seconds(102), "rack-0", false), racks_of_ten, settings));
+  REQUIRE_FALSE(IsOutage(loss, losses(9, same_time, "rack-0", true), racks_of_ten, settings));
+
+  // In a large installation, a rack is a small fraction of all targets.
+  std::vector<std::vector<std::string>> large(600, {"kind", "other"});
+  large.insert(large.end(), racks_of_ten.begin(), racks_of_ten.end());
+  REQUIRE(IsOutage(loss, losses(9, same_time, "rack-0", false), large, settings));
+  REQUIRE_FALSE(IsOutage(loss, losses(9, same_time, "rack-1", false), large, settings));
+}
+
+const SubmissionId kDeadly("00000000000000dd");
+const SubmissionId kLongRunning("00000000000000ee");
+
+/// A cell whose targets answer at once, run what they are told and crash when told to.
+class CrashFixture {
+ public:
+  CrashFixture() { this->StartOwner(7); }
+
+  /// Makes a new owner that reads what the one before wrote.
+  void StartOwner(FencingToken token) {
+    this->cell = std::make_unique<Cell>(CellId("all"), CellSettings{}, token, this->now);
+    Configuration configuration;
+    this->queue.id = QueueId("queue");
+    this->queue.service = ServiceId("service");
+    this->queue.max_attempts = 3;
+    configuration.queues.push_back(this->queue);
+    this->cell->SetConfiguration(std::make_shared<Configuration>(configuration));
+    for (const auto& [address, entry] : this->registered) {
+      this->cell->PutTarget(entry, this->now);
+    }
+    std::uint64_t revision = 1;
+    for (const auto& [id, accepted] : this->accepted) {
+      const auto record = this->records.find(id);
+      this->cell->Load(
+          accepted, revision++,
+          record == this->records.end() ? std::nullopt : std::optional<std::string>(record->second),
+          this->now);
+    }
+    this->cell->FinishLoading(this->now);
+  }
+
+  void AddTarget(const std::string& address) {
+    TargetEntry entry;
+    entry.incarnation =
+        static_cast<std::uint64_t>(this->now.time_since_epoch() / milliseconds(1)) + 1;
+    entry.id = TargetId(address + "-" + std::to_string(entry.incarnation));
+    entry.service = this->queue.service;
+    entry.address = address;
+    entry.capacity = Resources{16000, 16000, 0};
+    this->registered[address] = entry;
+    this->running[address].clear();
+    this->down.erase(address);
+    this->cell->PutTarget(entry, this->now);
+  }
+
+  /// Ends the process at the address and all its runs without a report.
+  void Crash(const std::string& address) {
+    this->down.insert(address);
+    this->running[address].clear();
+    this->crashes++;
+  }
+
+  /// Replaces the process at the address by a new one with another id.
+  void Replace(const std::string& address) {
+    this->cell->RemoveTarget(this->registered.at(address).id, this->now);
+    this->AddTarget(address);
+  }
+
+  void Submit(const SubmissionId& id, bool long_running, std::uint32_t count = 1) {
+    AcceptedSubmission submission;
+    submission.id = id;
+    submission.queue = this->queue;
+    StepSpec step;
+    step.need = Resources{1000, 1000, 0};
+    step.estimate = seconds(30);
+    step.long_running = long_running;
+    step.count = count;
+    submission.spec.steps = {step};
+    this->accepted[id] = submission;
+    this->cell->Accept(submission, this->accepted.size(), this->now);
+  }
+
+  void Run(Duration time) {
+    constexpr Duration kTick = milliseconds(10);
+    for (Duration elapsed{0}; elapsed < time; elapsed += kTick) {
+      this->now += kTick;
+      this->cell->ConfirmOwnership(this->now);
+      this->cell->Tick(this->now, WallTime(0));
+      if (const auto batch = this->cell->NextCommit(this->now)) {
+        for (const auto& [id, record] : batch->records) {
+          this->records[id] = record;
+        }
+        this->cell->OnCommitted(batch->number, this->now);
+        this->cell->Tick(this->now, WallTime(0));
+      }
+      for (const OutgoingOrder& order : this->cell->TakeOrders()) {
+        this->Answer(order);
+      }
+    }
+  }
+
+  const Submission& submission(const SubmissionId& id) const {
+    return this->cell->submissions().at(id);
+  }
+  const Task& TaskOf(const SubmissionId& id, std::size_t index = 0) const {
+    return this->submission(id).occurrences.at(0).steps[0].tasks[index];
+  }
+  /// \returns the address of the target of a task's run.
+  std::string AddressOf(const SubmissionId& id) const {
+    for (const auto& [address, entry] : this->registered) {
+      if (entry.id == this->TaskOf(id).incarnation.target) {
+        return address;
+      }
+    }
+    return "";
+  }
+
+  TimePoint now{std::chrono::hours(1)};
+  std::unique_ptr<Cell> cell;
+  int crashes = 0;
+  int starts_of_deadly = 0;
+  bool deadly = true;  ///< runs of `kDeadly` crash their targets
+
+ private:
+  void Answer(const OutgoingOrder& outgoing) {
+    const std::string& address = outgoing.order.address;
+    if (this->down.count(address) != 0) {
+      std::holds_alternative<HoldOrder>(outgoing.order.order)
+          ? this->cell->OnHoldReply(outgoing.ticket, HoldReply{}, this->now)
+          : this->cell->OnOrderReply(outgoing.ticket, OrderReply{}, this->now);
+      return;
+    }
+    const TargetEntry& entry = this->registered.at(address);
+    const bool same_instance = entry.id == outgoing.order.target;
+    const auto clock = std::chrono::duration_cast<TargetTime>(this->now.time_since_epoch());
+    if (std::holds_alternative<HoldOrder>(outgoing.order.order)) {
+      HoldReply reply;
+      reply.status = same_instance ? OrderStatus::kDone : OrderStatus::kWrongInstance;
+      reply.incarnation = entry.incarnation;
+      reply.clock = clock;
+      for (const auto& [task, run] : this->running[address]) {
+        constexpr double kPercentPerSecond = 3.0;
+        const std::chrono::duration<double> elapsed = this->now - run.second;
+        reply.running.push_back(
+            RunningRun{task, run.first, "", elapsed.count() * kPercentPerSecond, 0.0});
+      }
+      this->cell->OnHoldReply(outgoing.ticket, reply, this->now);
+      return;
+    }
+    OrderReply reply;
+    reply.status = same_instance ? OrderStatus::kDone : OrderStatus::kWrongInstance;
+    reply.clock = clock;
+    bool crashes_target = false;
+    if (const auto* start = std::get_if<StartOrder>(&outgoing.order.order);
+        start && same_instance) {
+      this->running[address].emplace(start->task, std::make_pair(start->run, this->now));
+      crashes_target = this->deadly && start->task.submission == kDeadly;
+      this->starts_of_deadly += start->task.submission == kDeadly ? 1 : 0;
+    }
+    if (const auto* stop = std::get_if<StopOrder>(&outgoing.order.order); stop && same_instance) {
+      this->running[address].erase(stop->task);
+    }
+    this->cell->OnOrderReply(outgoing.ticket, reply, this->now);
+    if (crashes_target) {
+      this->Crash(address);
+    }
+  }
+
+  QueueSettings queue;
+  std::map<std::string, TargetEntry> registered;
+  /// Run number and start time by task and address.
+  std::map<std::string, std::map<TaskKey, std::pair<RunNumber, TimePoint>>> running;
+  std::set<std::string> down;
+  std::map<SubmissionId, AcceptedSubmission> accepted;
+  std::map<SubmissionId, std::string> records;
+};
+
+/// Replaces the target that the deadly task has crashed, after the time for which it is down.
+void ReturnCrashedTarget(CrashFixture* fixture, Duration downtime) {
+  const std::string address = fixture->AddressOf(kDeadly);
+  REQUIRE_FALSE(address.empty());
+  fixture->Run(downtime);
+  fixture->Replace(address);
+}
+
+TEST_CASE("a task that crashes each target that starts it is given up after two crashes",
+          "[cell][crash_blame]") {
+  // With 9 s, the lease of the runs expires before a new process proves that the target crashed.
+  for (const Duration downtime : {seconds(3), seconds(9)}) {
+    CrashFixture fixture;
+    for (const char* address : {"a", "b", "c", "d"}) {
+      fixture.AddTarget(address);
+    }
+    fixture.Submit(kLongRunning, true, 8);
+    fixture.Run(seconds(5));
+    fixture.Submit(kDeadly, false);
+    fixture.Run(milliseconds(500));
+    for (int crash = 0; crash < 4 && !fixture.submission(kDeadly).failed; ++crash) {
+      ReturnCrashedTarget(&fixture, downtime);
+      fixture.Run(seconds(1));
+    }
+    REQUIRE(fixture.submission(kDeadly).State() == SubmissionState::kFailed);
+    REQUIRE(fixture.cell->DurableState(kDeadly) == SubmissionState::kFailed);
+    REQUIRE(fixture.starts_of_deadly <= 3);
+    fixture.Run(seconds(5));
+    REQUIRE_FALSE(fixture.submission(kLongRunning).failed);
+    for (std::size_t index = 0; index < 8; ++index) {
+      REQUIRE(fixture.TaskOf(kLongRunning, index).phase == TaskPhase::kRunning);
+      REQUIRE_FALSE(fixture.TaskOf(kLongRunning, index).crash_record.suspect);
+    }
+  }
+}
+
+TEST_CASE("a new owner knows how many targets have crashed under a task", "[cell][crash_blame]") {
+  CrashFixture fixture;
+  for (const char* address : {"a", "b", "c", "d"}) {
+    fixture.AddTarget(address);
+  }
+  fixture.Submit(kDeadly, false);
+  FencingToken token = 8;
+  for (int crash = 0; crash < 5 && !fixture.submission(kDeadly).failed; ++crash) {
+    fixture.Run(milliseconds(800));
+    fixture.StartOwner(token++);
+    ReturnCrashedTarget(&fixture, seconds(3));
+    fixture.Run(milliseconds(600));
+  }
+  REQUIRE(fixture.submission(kDeadly).State() == SubmissionState::kFailed);
+  REQUIRE(fixture.starts_of_deadly <= 3);
+}
+
+TEST_CASE("a task whose targets crash for other reasons is not given up", "[cell][crash_blame]") {
+  CrashFixture fixture;
+  fixture.deadly = false;
+  for (const char* address : {"a", "b", "c", "d"}) {
+    fixture.AddTarget(address);
+  }
+  const bool long_running = GENERATE(false, true);
+  fixture.Submit(kDeadly, long_running);
+  for (int crash = 0; crash < 10; ++crash) {
+    // Each run outlasts the time for which it is suspected.
+    fixture.Run(seconds(4));
+    REQUIRE(fixture.TaskOf(kDeadly).phase == TaskPhase::kRunning);
+    fixture.Crash(fixture.AddressOf(kDeadly));
+    ReturnCrashedTarget(&fixture, seconds(3));
+  }
+  REQUIRE_FALSE(fixture.submission(kDeadly).failed);
+}
+
+TEST_CASE("a suspected task starts apart from other runs", "[cell][crash_blame]") {
+  CrashFixture fixture;
+  fixture.deadly = false;
+  fixture.AddTarget("a");
+  fixture.AddTarget("b");
+  fixture.Submit(kDeadly, false);
+  fixture.Run(milliseconds(100));
+  fixture.Crash(fixture.AddressOf(kDeadly));
+  ReturnCrashedTarget(&fixture, seconds(3));
+  fixture.Run(milliseconds(700));
+  REQUIRE(fixture.TaskOf(kDeadly).phase == TaskPhase::kRunning);
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record == CrashRecord{1, true, true});
+  fixture.Submit(kLongRunning, true, 4);
+  fixture.Run(milliseconds(500));
+  const TargetId target = fixture.TaskOf(kDeadly).incarnation.target;
+  for (std::size_t index = 0; index < 4; ++index) {
+    REQUIRE(fixture.TaskOf(kLongRunning, index).phase == TaskPhase::kRunning);
+    REQUIRE(fixture.TaskOf(kLongRunning, index).incarnation.target != target);
+  }
+  fixture.Run(seconds(2));
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record == CrashRecord{});
+}
+
+}  // namespace
+}  // namespace pistachio
--- a/tests/scheduling/record_codec_test.cc
+++ b/tests/scheduling/record_codec_test.cc
@@ -71,6 +71,20 @@
   REQUIRE(DecodeState(EncodeProgress(submission)) == SubmissionState::kRunning);
 }
 
+TEST_CASE("a progress record contains the crashes under each task", "[record_codec]") {
+  Submission submission;
+  submission.accepted = Accepted();
+  submission.AddOccurrence(0);
+  Task& task = submission.occurrences.at(0).steps[0].tasks[1];
+  task.run = 2;
+  task.crash_record = CrashRecord{1, true, true};
+  Submission read;
+  read.accepted = submission.accepted;
+  REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].crash_record == CrashRecord{1, true, true});
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[0].crash_record == CrashRecord{});
+}
+
 TEST_CASE("malformed records are refused and change nothing", "[record_codec]") {
   const std::string bytes = EncodeAccepted(Accepted());
   for (std::size_t length = 0; length < bytes.size(); ++length) {
