Give submissions that a new owner ends the current time as their end

Callers would see: 410 instead of `failed`, for a submission whose last run had gone when its owner died (LOST). Cause: a new owner ended such submissions while it loaded, before its first tick, with the epoch as the time of their end. The retention time was over at once, so the next write deleted them. Change: ends before the first tick wait for it. Measured: the new case of test_scheduling fails without the change (the state is unknown) and passes with it; all of test_scheduling passes.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -191,11 +191,12 @@
 
 void Cell::Tick(TimePoint now, WallTime wall_now) {
   this->wall_time = wall_now;
+  this->ticked = true;
   if (!this->loaded) {
     return;
   }
   this->ExpireLeases(now);
-  this->EndCrashedSubmissions(now);
+  this->EndPendingSubmissions(now);
   this->AddDueOccurrences();
   const Duration since = now - this->last_schedule_at;
   if ((this->schedule_due && since >= internal::kMinScheduleInterval) ||
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -226,8 +226,8 @@
   void CountUnprovenCrash(const TargetEntry& entry, TimePoint now);
   /// Forgets the suspicion against the task of a run that has lasted long enough.
   void ClearSuspicion(Target* target, const TaskKey& key, Task* task, TimePoint now);
-  /// Stops and ends the submissions that failed because of crashes.
-  void EndCrashedSubmissions(TimePoint now);
+  /// Stops the runs of the submissions in `ending_submissions` and ends those without runs.
+  void EndPendingSubmissions(TimePoint now);
   /// \returns true if no run was started on the target for `CrashSettings::quiet_time`.
   bool IsQuiet(const Target& target, TimePoint now);
   /// \returns true if the task has to be started apart from others and may still wait for a target
@@ -409,16 +409,17 @@
   /// Store revisions of the moves of submissions to other cells.
   std::map<SubmissionId, std::uint64_t> moved_away;
   std::map<std::string, internal::UnprovenCrash> unproven_crashes;  ///< by the target's address
-  std::deque<TargetLoss> recent_losses;           ///< oldest first, see `CrashSettings`
-  std::vector<SubmissionId> crashed_submissions;  ///< failed, for `EndCrashedSubmissions`
-  std::deque<SubmissionId> moved_away_order;      ///< oldest first, to bound the memory
-  TimePoint other_cells_seen_at{};     ///< when there was last another cell with an owner
-  TimePoint acquired_at{};             ///< when this process became the owner
-  TimePoint ownership_confirmed_at{};  ///< see `ConfirmOwnership`
+  std::deque<TargetLoss> recent_losses;          ///< oldest first, see `CrashSettings`
+  std::vector<SubmissionId> ending_submissions;  ///< failed or cancelled, to be ended
+  std::deque<SubmissionId> moved_away_order;     ///< oldest first, to bound the memory
+  TimePoint other_cells_seen_at{};               ///< when there was last another cell with an owner
+  TimePoint acquired_at{};                       ///< when this process became the owner
+  TimePoint ownership_confirmed_at{};            ///< see `ConfirmOwnership`
   TimePoint last_commit_at{};
   TimePoint last_schedule_at{};
   TimePoint next_load_log_at{};
   WallTime wall_time{0};  ///< wall clock at the last `Tick`
+  bool ticked = false;    ///< `Tick` has been called, so `wall_time` is known
   bool loaded = false;
   bool is_fenced = false;      ///< see `fenced`
   bool schedule_due = false;   ///< something changed since the last scheduling round
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -105,7 +105,7 @@
     if (given_up && !submission->cancelled && !submission->failed) {
       submission->failed = true;
       this->counts.tasks_given_up++;
-      this->crashed_submissions.push_back(run.task.submission);
+      this->ending_submissions.push_back(run.task.submission);
       this->Log(EventCode::kSubmissionFailed, {{"submission", run.task.submission.str()},
                                                {"task", run.task.str()},
                                                {"failures", std::to_string(task->failures)},
@@ -141,8 +141,8 @@
   this->MarkDirty(key.submission);
 }
 
-void Cell::EndCrashedSubmissions(TimePoint now) {
-  for (const SubmissionId& id : std::exchange(this->crashed_submissions, {})) {
+void Cell::EndPendingSubmissions(TimePoint now) {
+  for (const SubmissionId& id : std::exchange(this->ending_submissions, {})) {
     Submission* submission = this->FindSubmission(id);
     this->StopAllRuns(submission, StopReason::kCancelled, now);
     this->EndIfFinished(submission);
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -356,6 +356,10 @@
   if (!ended) {
     return;
   }
+  if (!this->ticked) {
+    this->ending_submissions.push_back(id);
+    return;
+  }
   submission->ended_at = this->wall_time;
   this->open_submissions.erase(id);
   this->ended_submissions.push_back(id);
--- a/tests/scheduling/crash_blame_test.cc
+++ b/tests/scheduling/crash_blame_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "pistachio/process/scheduling/cell.h"
+#include "pistachio/process/scheduling/record_codec.h"
 
 namespace pistachio {
 namespace {
@@ -115,13 +116,16 @@
     for (Duration elapsed{0}; elapsed < time; elapsed += kTick) {
       this->now += kTick;
       this->cell->ConfirmOwnership(this->now);
-      this->cell->Tick(this->now, WallTime(0));
+      this->cell->Tick(this->now, this->wall);
       if (const auto batch = this->cell->NextCommit(this->now)) {
         for (const auto& [id, record] : batch->records) {
           this->records[id] = record;
         }
+        for (const SubmissionId& id : batch->deleted) {
+          this->records.erase(id);
+        }
         this->cell->OnCommitted(batch->number, this->now);
-        this->cell->Tick(this->now, WallTime(0));
+        this->cell->Tick(this->now, this->wall);
       }
       for (const OutgoingOrder& order : this->cell->TakeOrders()) {
         this->Answer(order);
@@ -146,6 +150,8 @@
   }
 
   TimePoint now{std::chrono::hours(1)};
+  WallTime wall{0};
+  std::map<SubmissionId, std::string> records;  ///< progress records in the store
   std::unique_ptr<Cell> cell;
   int crashes = 0;
   int starts_of_deadly = 0;
@@ -202,7 +208,6 @@
   std::map<std::string, std::map<TaskKey, std::pair<RunNumber, TimePoint>>> running;
   std::set<std::string> down;
   std::map<SubmissionId, AcceptedSubmission> accepted;
-  std::map<SubmissionId, std::string> records;
 };
 
 /// Replaces the target that the deadly task has crashed, after the time for which it is down.
@@ -258,6 +263,24 @@
   REQUIRE(fixture.starts_of_deadly <= 3);
 }
 
+TEST_CASE("a failed submission that a new owner ends stays known to callers",
+          "[cell][crash_blame]") {
+  CrashFixture fixture;
+  fixture.wall = WallTime(1800000000000);
+  fixture.AddTarget("a");
+  fixture.AddTarget("b");
+  fixture.Submit(kDeadly, false);
+  fixture.Run(milliseconds(800));
+  Submission failed = fixture.submission(kDeadly);
+  Task& task = failed.occurrences.at(0).steps[0].tasks[0];
+  task.phase = TaskPhase::kWaiting;
+  failed.failed = true;
+  fixture.records[kDeadly] = EncodeProgress(failed);
+  fixture.StartOwner(8);
+  fixture.Run(seconds(100));
+  REQUIRE(fixture.cell->DurableState(kDeadly) == SubmissionState::kFailed);
+}
+
 TEST_CASE("a task whose targets crash for other reasons is not given up", "[cell][crash_blame]") {
   CrashFixture fixture;
   fixture.deadly = false;
