Keep the address of a task's target in its progress record

Cause: a new process at the address of a target proves that the target has crashed, but a restarted host did not know the address: the registration had been replaced before it read the list. So it waited for the longest lease. Change: the progress record names the address with each target. A new owner asks there, and finds the runs lost at once if a later target has registered there. The version before reads the record as it did. Measured: the new case of test_scheduling fails without the change (the runs are still assigned to the lost target after 2 s) and passes with it; all of test_scheduling passes.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -87,6 +87,7 @@
   Target& target = this->targets[task->incarnation.target];
   if (target.entry.id.empty()) {
     target.entry.id = task->incarnation.target;
+    target.entry.address = task->incarnation.address;
     target.lease_expires_at = this->InheritedLeaseExpiry(target.entry.id);
   }
   // A later incarnation of the target may have carried out the start too, so the latest known
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -150,13 +150,13 @@
 }
 
 bool Cell::IsQuiet(const Target& target, TimePoint now) {
-  const bool starting =
-      std::any_of(target.tasks.begin(), target.tasks.end(), [this](const TaskKey& key) {
-        const TaskPhase phase = this->FindSubmission(key.submission)->FindTask(key)->phase;
-        return phase == TaskPhase::kAssigned || phase == TaskPhase::kStarting;
-      });
-  return !starting && !target.suspect_task &&
-         now - target.last_assigned_at >= this->settings.crash.quiet_time;
+  if (target.suspect_task || now - target.last_assigned_at < this->settings.crash.quiet_time) {
+    return false;
+  }
+  return std::none_of(target.tasks.begin(), target.tasks.end(), [this](const TaskKey& key) {
+    const TaskPhase phase = this->FindSubmission(key.submission)->FindTask(key)->phase;
+    return phase == TaskPhase::kAssigned || phase == TaskPhase::kStarting;
+  });
 }
 
 bool Cell::WaitsForQuietTarget(const Task& task, TimePoint now) const {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -213,7 +213,9 @@
   TimePoint over_bound_since{};  ///< start of a tail's excess over its bound; the epoch if none
   TimePoint next_sample_at{};    ///< earliest time of the next sample for the interference model
 
-  TargetIncarnation CurrentIncarnation() const { return {this->entry.id, this->incarnation}; }
+  TargetIncarnation CurrentIncarnation() const {
+    return {this->entry.id, this->incarnation, this->entry.address};
+  }
 };
 
 /// A run that a target was lost under. Whether the target has crashed is not known yet.
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -112,7 +112,8 @@
     const auto key = std::make_pair(incarnation.target, incarnation.number);
     const auto [found, added] = this->indices.emplace(key, this->rows.size());
     if (added) {
-      this->rows.push_back(Json::array({incarnation.target.str(), incarnation.number}));
+      this->rows.push_back(
+          Json::array({incarnation.target.str(), incarnation.number, incarnation.address}));
     }
     return found->second;
   }
@@ -158,7 +159,8 @@
   if (row.size() > 4) {
     const Json& incarnation = targets.at(row.at(4).get<std::size_t>());
     task.incarnation = {TargetId(incarnation.at(0).get<std::string>()),
-                        incarnation.at(1).get<std::uint64_t>()};
+                        incarnation.at(1).get<std::uint64_t>(),
+                        incarnation.size() > 2 ? incarnation.at(2).get<std::string>() : ""};
   }
   return task;
 }
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -15,6 +15,7 @@
 struct TargetIncarnation {
   TargetId target;
   std::uint64_t number = 0;  ///< see TargetEntry::incarnation
+  std::string address;       ///< IP address and port; empty if an earlier version wrote the record
 
   friend bool operator==(const TargetIncarnation& a, const TargetIncarnation& b) {
     return a.number == b.number && a.target == b.target;
--- a/tests/scheduling/crash_blame_test.cc
+++ b/tests/scheduling/crash_blame_test.cc
@@ -70,7 +70,8 @@
     this->cell->FinishLoading(this->now);
   }
 
-  void AddTarget(const std::string& address) {
+  /// \param tell_owner the owner sees the registration
+  void AddTarget(const std::string& address, bool tell_owner = true) {
     TargetEntry entry;
     entry.incarnation =
         static_cast<std::uint64_t>(this->now.time_since_epoch() / milliseconds(1)) + 1;
@@ -81,7 +82,9 @@
     this->registered[address] = entry;
     this->running[address].clear();
     this->down.erase(address);
-    this->cell->PutTarget(entry, this->now);
+    if (tell_owner) {
+      this->cell->PutTarget(entry, this->now);
+    }
   }
 
   /// Ends the process at the address and all its runs without a report.
@@ -263,6 +266,26 @@
   REQUIRE(fixture.starts_of_deadly <= 3);
 }
 
+TEST_CASE("runs of a target that was replaced before a takeover do not wait for its lease",
+          "[cell][crash_blame]") {
+  // A restarted host has never seen the registration of the target that crashed.
+  CrashFixture fixture;
+  fixture.AddTarget("a");
+  fixture.AddTarget("b");
+  fixture.deadly = false;
+  fixture.Submit(kLongRunning, true, 4);
+  fixture.Run(seconds(3));
+  fixture.Crash("a");
+  fixture.Run(milliseconds(10));
+  fixture.now += seconds(3);
+  fixture.AddTarget("a", false);
+  fixture.StartOwner(8);
+  fixture.Run(seconds(2));
+  for (std::size_t index = 0; index < 4; ++index) {
+    REQUIRE(fixture.TaskOf(kLongRunning, index).phase == TaskPhase::kRunning);
+  }
+}
+
 TEST_CASE("a failed submission that a new owner ends stays known to callers",
           "[cell][crash_blame]") {
   CrashFixture fixture;
--- a/tests/scheduling/record_codec_test.cc
+++ b/tests/scheduling/record_codec_test.cc
@@ -55,7 +55,7 @@
   step.tasks[1].run = 3;
   step.tasks[1].failures = 1;
   step.tasks[1].checkpoint = "saved";
-  step.tasks[1].incarnation = {TargetId("target"), 77};
+  step.tasks[1].incarnation = {TargetId("target"), 77, "10.1.0.7:80"};
   Submission read;
   read.accepted = Accepted();
   REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
@@ -66,7 +66,9 @@
   REQUIRE(step_read.tasks[1].run == 3);
   REQUIRE(step_read.tasks[1].failures == 1);
   REQUIRE(step_read.tasks[1].checkpoint == "saved");
-  REQUIRE(step_read.tasks[1].incarnation == TargetIncarnation{TargetId("target"), 77});
+  REQUIRE(step_read.tasks[1].incarnation ==
+          TargetIncarnation{TargetId("target"), 77, "10.1.0.7:80"});
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].incarnation.address == "10.1.0.7:80");
   REQUIRE(read.occurrences.at(0).steps[1].waiting == 2);
   REQUIRE(DecodeState(EncodeProgress(submission)) == SubmissionState::kRunning);
 }
--- a/tests/scheduling/reservation_test.cc
+++ b/tests/scheduling/reservation_test.cc
@@ -62,7 +62,7 @@
       task.run = targets[index] == kNever ? 0 : 1;
       if (!targets[index].empty() && targets[index] != kNever) {
         task.phase = TaskPhase::kRunning;
-        task.incarnation = TargetIncarnation{TargetId(targets[index]), kIncarnation};
+        task.incarnation = TargetIncarnation{TargetId(targets[index]), kIncarnation, ""};
         progress.waiting--;
         const TaskKey key{submission.accepted.id, 0, 0, index};
         this->running[targets[index]].push_back(RunningRun{key, 1, "", 10.0, 0.0});
