Keep at most a quarter of the targets for suspected tasks

Callers would see: work that waits for up to 2 s although most of the targets' resources are free, after a takeover beside several crashed targets. Cause: each suspected task kept a target for itself. A new owner suspects every run on a target that crashed before it, which may be more tasks than targets. Change: no further target is kept beyond a quarter of them. A suspect waits for one for 1 s and then starts like other work, without keeping the target. Measured: the new case of test_scheduling fails without the limit and passes with it; all of test_scheduling passes.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -94,7 +94,7 @@
   // incarnation counts.
   target.incarnation = std::max(target.incarnation, task->incarnation.number);
   this->UpdateLoad(&target, key, submission->Step(key.step), 1);
-  if (task->crash_record.suspect) {
+  if (task->crash_record.isolated) {
     target.suspect_task = key;
   }
 }
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -230,6 +230,8 @@
   void EndPendingSubmissions(TimePoint now);
   /// \returns true if no run was started on the target for `CrashSettings::quiet_time`.
   bool IsQuiet(const Target& target, TimePoint now);
+  /// \returns true if another target may be kept for a suspected task.
+  bool MayIsolate() const;
   /// \returns true if the task has to be started apart from others and may still wait for a target
   ///   where it can be.
   bool WaitsForQuietTarget(const Task& task, TimePoint now) const;
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -159,6 +159,15 @@
   });
 }
 
+bool Cell::MayIsolate() const {
+  const auto kept =
+      std::count_if(this->targets.begin(), this->targets.end(),
+                    [](const auto& entry) { return entry.second.suspect_task.has_value(); });
+  const double limit =
+      static_cast<double>(this->targets.size()) * this->settings.crash.max_isolated_share;
+  return static_cast<double>(kept) < std::max(1.0, limit);
+}
+
 bool Cell::WaitsForQuietTarget(const Task& task, TimePoint now) const {
   return task.crash_record.suspect && now - task.phase_since < this->settings.crash.max_quiet_wait;
 }
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -256,6 +256,10 @@
   const ServiceId service = this->ServiceOf(submission);
   const PlacementRequest need{spec.need, spec.best_effort, spec.tail_bound.count() > 0,
                               this->interference_model.IndexOf(spec.image)};
+  const bool needs_quiet = this->WaitsForQuietTarget(task, now);
+  if (needs_quiet && !this->MayIsolate()) {
+    return nullptr;
+  }
   Target* best = nullptr;
   double best_score = 0.0;
   for (auto& [id, target] : this->targets) {
@@ -263,8 +267,7 @@
         !FitsOn(need, target.load, this->interference_model, this->settings.placement)) {
       continue;
     }
-    if (this->IsAtStepLimit(target, spec, key) ||
-        (this->WaitsForQuietTarget(task, now) && !this->IsQuiet(target, now))) {
+    if (this->IsAtStepLimit(target, spec, key) || (needs_quiet && !this->IsQuiet(target, now))) {
       continue;
     }
     Resources used_or_reserved = target.load.used + target.reserved + spec.need;
@@ -308,8 +311,10 @@
   submission->occurrences.at(key.occurrence).steps[key.step].waiting--;
   submission->started = true;
   if (task->crash_record.suspect) {
-    task->crash_record.isolated = this->IsQuiet(*target, now);
-    target->suspect_task = key;
+    task->crash_record.isolated = this->MayIsolate() && this->IsQuiet(*target, now);
+    if (task->crash_record.isolated) {
+      target->suspect_task = key;
+    }
   }
   target->last_assigned_at = now;
   this->UpdateLoad(target, key, submission->Step(key.step), 1);
--- a/pistachio/process/scheduling/crash_blame.h
+++ b/pistachio/process/scheduling/crash_blame.h
@@ -17,6 +17,8 @@
   Duration quiet_time = std::chrono::milliseconds(500);
   /// Longest wait of a suspected task for such a target. After it, the task starts anywhere.
   Duration max_quiet_wait = std::chrono::milliseconds(1000);
+  /// Largest fraction of the targets that are kept for suspected tasks at the same time.
+  double max_isolated_share = 0.25;
   /// Crashes after which a task is given up if it was isolated during the last one.
   std::uint32_t max_isolated_crashes = 2;
   /// Crashes after which a task is given up in any case.
--- a/tests/scheduling/crash_blame_test.cc
+++ b/tests/scheduling/crash_blame_test.cc
@@ -322,6 +322,36 @@
   REQUIRE_FALSE(fixture.submission(kDeadly).failed);
 }
 
+TEST_CASE("many suspected tasks do not keep other work off most targets", "[cell][crash_blame]") {
+  CrashFixture fixture;
+  fixture.deadly = false;
+  for (int target = 0; target < 16; ++target) {
+    fixture.AddTarget("target-" + std::to_string(target));
+  }
+  const SubmissionId suspects("00000000000000aa");
+  fixture.Submit(suspects, true, 64);
+  fixture.Run(milliseconds(100));
+  // Three targets at a time are no outage.
+  for (int target = 0; target < 9; ++target) {
+    fixture.Crash("target-" + std::to_string(target));
+    fixture.Run(target % 3 == 2 ? milliseconds(600) : milliseconds(0));
+  }
+  fixture.Run(seconds(1));
+  for (int target = 0; target < 9; ++target) {
+    fixture.Replace("target-" + std::to_string(target));
+  }
+  fixture.Run(milliseconds(600));
+  fixture.Submit(kLongRunning, true, 8);
+  fixture.Run(milliseconds(300));
+  for (std::size_t index = 0; index < 8; ++index) {
+    REQUIRE(fixture.TaskOf(kLongRunning, index).phase == TaskPhase::kRunning);
+  }
+  fixture.Run(seconds(3));
+  for (std::size_t index = 0; index < 64; ++index) {
+    REQUIRE(fixture.TaskOf(suspects, index).phase == TaskPhase::kRunning);
+  }
+}
+
 TEST_CASE("a suspected task starts apart from other runs", "[cell][crash_blame]") {
   CrashFixture fixture;
   fixture.deadly = false;
