Count the extension of leases from the sending of the call that the store confirmed

Callers would see: TWICE. Cause: an owner took the handling of an answer to a commit, a load record, a watch or its take for the time at which the store had confirmed it. The answer may be seconds late, on the way or while the process is suspended. Meanwhile another host may take the cell. It waits for as long as its predecessor may extend leases, counted from its take, while the predecessor goes on for longer. Change: a confirmation counts from the sending of the call. A watch without changes counts from the end of its wait if that is earlier than the arrival. Price: in an outage, leases are extended for up to one watch less than before.

--- a/pistachio/connection/store/prefix_mirror.cc
+++ b/pistachio/connection/store/prefix_mirror.cc
@@ -18,6 +18,7 @@
   this->state->running = true;
   this->state->now = now;
   this->state->confirmed_at = now;
+  this->state->valid_at = now;
   this->SendNextCall();
 }
 
@@ -77,6 +78,7 @@
   State& current = *this->state;
   if (current.last_key.empty()) {
     current.first_page_revision = reply.revision;
+    current.first_page_sent_at = current.sent_at;
   }
   for (const StoreItem& item : reply.items) {
     current.page_items[item.key] = item;
@@ -94,6 +96,7 @@
   // The pages are not one snapshot. The watch resumes from the revision of the first page, so
   // changes between the pages are reported again.
   current.revision = current.first_page_revision;
+  current.valid_at = current.first_page_sent_at;
   current.reading = false;
   current.last_key.clear();
   std::map<std::string, StoreItem> previous_items;
@@ -127,6 +130,9 @@
 void PrefixMirror::OnEvents(const StoreReply& reply) {
   State& current = *this->state;
   const std::uint64_t generation = current.generation;
+  // Without changes, the store has answered after the whole wait.
+  const Duration waited = reply.items.empty() ? Duration(this->settings.watch_wait) : Duration(0);
+  current.valid_at = std::min(current.now, current.sent_at + waited);
   current.revision = std::max(current.revision, reply.revision);
   for (const StoreItem& event : reply.items) {
     current.revision = std::max(current.revision, event.revision);
--- a/pistachio/connection/store/prefix_mirror.h
+++ b/pistachio/connection/store/prefix_mirror.h
@@ -67,6 +67,12 @@
   /// which the call was sent, because its answer may take seconds to arrive.
   TimePoint confirmed_at() const { return this->state->confirmed_at; }
 
+  /// \returns a time at which the store had the state of the copy: the time of the last Tick()
+  /// before the call was sent that last brought the whole copy up to date, plus the wait of a watch
+  /// that ended without changes. The time for which the answer was on its way, or not handled yet,
+  /// does not count. The time of Start() if there is no such call.
+  TimePoint valid_at() const { return this->state->valid_at; }
+
   /// \returns the copy, by key.
   const std::map<std::string, StoreItem>& items() const { return this->state->items; }
 
@@ -79,15 +85,17 @@
     std::uint64_t first_page_revision = 0;  ///< store revision of the first page
     /// Rises with each Start() and Stop(). Replies to calls of earlier generations are ignored.
     std::uint64_t generation = 0;
-    bool loaded = false;       ///< a full read has finished
-    bool reading = true;       ///< a full read is under way, else the mirror watches
-    bool in_flight = false;    ///< a call has no reply yet
-    bool running = false;      ///< between Start() and Stop()
-    bool cut_off = false;      ///< a part of the last call's answer arrived before it failed
-    TimePoint now{};           ///< time of the last Tick()
-    TimePoint next_call{};     ///< earliest time of the next call
-    TimePoint sent_at{};       ///< time of the last Tick() before the last call was sent
-    TimePoint confirmed_at{};  ///< see PrefixMirror::confirmed_at()
+    bool loaded = false;             ///< a full read has finished
+    bool reading = true;             ///< a full read is under way, else the mirror watches
+    bool in_flight = false;          ///< a call has no reply yet
+    bool running = false;            ///< between Start() and Stop()
+    bool cut_off = false;            ///< a part of the last call's answer arrived before it failed
+    TimePoint now{};                 ///< time of the last Tick()
+    TimePoint next_call{};           ///< earliest time of the next call
+    TimePoint sent_at{};             ///< time of the last Tick() before the last call was sent
+    TimePoint first_page_sent_at{};  ///< `sent_at` of the first page of a full read
+    TimePoint confirmed_at{};        ///< see PrefixMirror::confirmed_at()
+    TimePoint valid_at{};            ///< see PrefixMirror::valid_at()
   };
 
   void SendNextCall();
--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -165,6 +165,11 @@
   take.puts.push_back(Put{store_keys::Sequence(this->cell_id),
                           EncodeRecord(SequenceRecord{state.owner_record, state.inherited_bounds}),
                           0});
+  this->SendTake(take);
+}
+
+void CellOwnership::SendTake(const Transaction& take) {
+  this->state->take_sent_at = this->state->now;
   this->CallStore(take, this->settings.take_timeout,
                   [this, take](const StoreReply& reply) { this->OnTaken(reply, take); });
 }
@@ -192,11 +197,7 @@
     // The transaction may still take effect. OnTaken() recognises the effect of an identical
     // repetition by its value. A different transaction could take effect in addition.
     state.phase = Phase::kTaking;
-    this->ScheduleRetry([this, take] {
-      this->CallStore(
-          take, this->settings.take_timeout,
-          [this, take](const StoreReply& retry_reply) { this->OnTaken(retry_reply, take); });
-    });
+    this->ScheduleRetry([this, take] { this->SendTake(take); });
   }
 }
 
@@ -225,6 +226,7 @@
   state.seen_as_owner = false;
   state.retry_call = nullptr;
   state.cell = std::make_unique<Cell>(this->cell_id, this->cell_settings, fencing_token, state.now);
+  state.cell->ConfirmOwnership(state.take_sent_at);
   state.cell->InheritLeaseBounds(state.inherited_bounds);
   this->Log(EventCode::kCellTaken,
             {{"cell", this->cell_id.str()}, {"token", std::to_string(fencing_token)}});
@@ -341,7 +343,7 @@
   }
   if (owner && owner->revision == state.fencing_token) {
     state.seen_as_owner = true;
-    state.cell->ConfirmOwnership(view.confirmed_at());
+    state.cell->ConfirmOwnership(view.valid_at());
   } else if (state.seen_as_owner) {
     this->EndOwnership("owner-key-gone");
     return;
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -113,6 +113,7 @@
     std::uint64_t sequence_revision = 0;  ///< revision of the last commit, or of the take
     OwnerRecord owner_record;             ///< written to the owner key
     LeaseBounds inherited_bounds;         ///< in the sequence key when the cell was taken
+    TimePoint take_sent_at{};             ///< when the last take of the cell was sent
     std::uint64_t lease = 0;              ///< lease of this host; 0 if there is none
     TimePoint now{};                      ///< time of the last tick
     /// Start of the time without an owner; zero while the cell has one. On a remote host, the time
@@ -145,6 +146,9 @@
     TimePoint next_move_at{};
     Duration commit_timeout{0};
     bool commit_in_flight = false;
+    /// When `open_commit` was last sent. The store has not confirmed this owner later than that,
+    /// however late the answer arrives or is handled.
+    TimePoint commit_sent_at{};
     TimePoint commit_retry_at{};
     std::vector<EventRecord> events;
   };
@@ -161,6 +165,7 @@
   /// \param expected_revision of the owner key
   void ReadSequence(std::uint64_t expected_revision);
   void TakeOwnership(std::uint64_t expected_revision, const StoreItem& sequence);
+  void SendTake(const Transaction& take);
   void OnTaken(const StoreReply& reply, const Transaction& take);
   void StartLoading(std::uint64_t fencing_token);
   void ReadModel();
--- a/pistachio/process/ownership/cell_ownership_commit.cc
+++ b/pistachio/process/ownership/cell_ownership_commit.cc
@@ -115,6 +115,7 @@
 void CellOwnership::SendCommit() {
   State& state = *this->state;
   state.commit_in_flight = true;
+  state.commit_sent_at = state.now;
   this->CallStore(*state.open_commit, state.commit_timeout,
                   [this](const StoreReply& reply) { this->OnCommitted(reply); });
 }
@@ -134,7 +135,7 @@
                                last_commit.revision == state.sequence_revision;
     if (move_rejected) {
       state.open_commit.reset();
-      state.cell->ConfirmOwnership(state.now);
+      state.cell->ConfirmOwnership(state.commit_sent_at);
       state.cell->OnMoveRejected(state.commit_number);
       return;
     }
@@ -161,7 +162,7 @@
   state.sequence_revision = revision;
   state.commit_timeout = this->settings.commit_timeout;
   state.open_commit.reset();
-  state.cell->ConfirmOwnership(state.now);
+  state.cell->ConfirmOwnership(state.commit_sent_at);
   if (state.commit_is_move) {
     state.cell->OnMoved(state.commit_number, revision, state.now);
   } else {
@@ -199,16 +200,17 @@
     state.next_model_at = state.now + this->settings.model_interval;
     write.puts.push_back(Put{store_keys::Model(this->cell_id), state.cell->EncodeModel(), 0});
   }
-  this->CallStore(write, this->settings.commit_timeout, [this, record](const StoreReply& reply) {
+  const auto on_reply = [this, record, sent_at = state.now](const StoreReply& reply) {
     State& state = *this->state;
     state.load_in_flight = false;
     if (reply.status == StoreStatus::kOk) {
       state.last_load_record = record;
-      state.cell->ConfirmOwnership(state.now);
+      state.cell->ConfirmOwnership(sent_at);
     } else if (reply.status == StoreStatus::kConflict) {
       this->EndOwnership("owner-key-changed");
     }
-  });
+  };
+  this->CallStore(write, this->settings.commit_timeout, on_reply);
 }
 
 }  // namespace pistachio
--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -80,8 +80,8 @@
   /// \returns true if the mirror is loaded and the store confirmed it within \a max_age.
   bool IsFresh(TimePoint now, Duration max_age) const;
 
-  /// \returns the time of the store's last answer, with or without changes.
-  TimePoint confirmed_at() const { return this->mirror.get().confirmed_at(); }
+  /// \returns a time at which the store had the state of the view, see PrefixMirror::valid_at.
+  TimePoint valid_at() const { return this->mirror.get().valid_at(); }
 
   /// Owner of a cell, with the revision of the owner key.
   struct Owner {
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -27,8 +27,7 @@
       settings(settings),
       fencing_token(token),
       interference_model(settings.interference),
-      acquired_at(now),
-      ownership_confirmed_at(now) {}
+      acquired_at(now) {}
 
 void Cell::SetConfiguration(std::shared_ptr<const Configuration> newer) {
   this->configuration = std::move(newer);
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -22,8 +22,8 @@
 /// incarnation of the target or the expiry of its lease shows that the run has ended.
 class Cell {
  public:
-  /// \brief Creates the cell at the time when this process became its owner.
-  /// \param token fencing token of this ownership
+  /// \brief Creates the cell at the time when this process learned that it is the owner. No lease
+  /// is extended before `ConfirmOwnership`. \param token fencing token of this ownership
   Cell(CellId id, const CellSettings& settings, FencingToken token, TimePoint now);
 
   /// \brief Replaces the active configuration.
@@ -91,7 +91,8 @@
 
   /// \brief Records that the store confirmed this owner; leases may be extended for
   /// `CellSettings::store_outage_tolerance` after \a at.
-  /// \param at time of the confirmation; times before the latest one change nothing
+  /// \param at a time at which this process owned the cell for certain, such as that of sending the
+  ///   write that the store has confirmed; times before the latest one change nothing
   void ConfirmOwnership(TimePoint at);
 
   /// \returns the orders enqueued since the last call.
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -194,6 +194,32 @@
   REQUIRE(fixture.mirror->confirmed_at() == start + milliseconds(500));
 }
 
+// An owner of a cell that takes the time at which it handles an answer for that of the store
+// extends leases for too long.
+TEST_CASE("the time for which an answer was on its way does not count as validity of the copy",
+          "[store]") {
+  Fixture fixture;
+  const TimePoint start{};
+  fixture.mirror->Start(start);
+  fixture.mirror->Tick(start + milliseconds(700));
+  fixture.store.Answer(OkReply({Item("p/a", 3)}, 10, true));
+  fixture.mirror->Tick(start + milliseconds(1400));
+  REQUIRE(fixture.mirror->valid_at() == start);
+  // The watch is sent at 1400 ms.
+  fixture.store.Answer(OkReply({Item("p/b", 4)}, 10));
+  REQUIRE(fixture.mirror->valid_at() == start);
+  fixture.mirror->Tick(start + milliseconds(2000));
+  fixture.store.Answer(OkReply({Item("p/a", 12)}, 12));
+  REQUIRE(fixture.mirror->valid_at() == start + milliseconds(1400));
+  // A watch without changes is answered after 1 s.
+  fixture.mirror->Tick(start + milliseconds(3400));
+  fixture.store.Answer(OkReply({}, 12));
+  REQUIRE(fixture.mirror->valid_at() == start + milliseconds(3000));
+  fixture.mirror->Tick(start + milliseconds(3900));
+  fixture.store.Answer(OkReply({}, 12));
+  REQUIRE(fixture.mirror->valid_at() == start + milliseconds(3900));
+}
+
 TEST_CASE("replies to calls sent before a stop are ignored", "[store]") {
   Fixture fixture;
   fixture.mirror->Start(TimePoint{});
