Count the longest lease for deadlines that a next incarnation takes

Cause: a target that restarts under its id counts its time anew. The deadline of a hold or a start that was sent to the incarnation before lies far ahead on its clock, and the target cuts it to 10 s from the arrival, up to 12 s after the sending. The owner counted 7.5 s from the first hold, so it gave up runs that were still alive on a target that was cut off after its restart. Change: for each target, the latest time at which a deadline may still arrive is kept. In the next incarnation, the lease counts as 10 s from then. Price: if such a target goes silent again within 13 s of an unanswered hold or start, its tasks start elsewhere up to 16 s later than before. What remains: a new owner does not know of such orders of its predecessor.

--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -35,6 +35,7 @@
   const RunLimits& bounds = host.bounds;
   settings.membership.ttl = std::max(settings.membership.ttl, host.min_lease);
   settings.cell.lease_duration = std::min<Duration>(settings.cell.lease_duration, bounds.max_hold);
+  settings.cell.max_lease_duration = bounds.max_hold;
   settings.cell.stop_timeout = bounds.stop_timeout;
   settings.cell.ended_retention = bounds.ended_retention;
   return settings;
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -201,6 +201,15 @@
   std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
   /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
   bool MayExtendLeases(TimePoint now) const;
+  /// \returns when a lease of the duration \a lease ends at the latest, if its order arrives at
+  ///   \a arrival.
+  TimePoint LeaseExpiry(TimePoint arrival, Duration lease) const;
+  /// Notes until when the deadline of an order may arrive at the target.
+  void NoteDeadline(Target* target, const internal::SentOrder& sent, OrderStatus status,
+                    TimePoint now);
+  /// Accounts for a deadline that was sent to an earlier incarnation of the target and arrives at
+  /// \a arrival.
+  void CoverEarlierDeadlines(Target* target, TimePoint arrival);
   /// Discards what is known of a target's clock, which starts anew in each incarnation.
   static void ForgetClock(Target* target);
   /// Stores a reading of a target's clock unless a later one is known.
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -24,6 +24,7 @@
     return;
   }
   if (reply.status != OrderStatus::kDone) {
+    this->NoteDeadline(target, sent, reply.status, now);
     target->failed_holds++;
     target->next_hold_at = now + this->settings.hold_retry_delay;
     if (target->failed_holds == this->settings.health.max_failed_holds) {
@@ -40,6 +41,7 @@
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
   }
+  this->NoteDeadline(target, sent, reply.status, now);
   if (target->failed_holds >= this->settings.health.max_failed_holds) {
     this->Log(EventCode::kTargetAnswers,
               {{"cell", this->cell_id.str()}, {"target", target->entry.id.str()}});
@@ -52,10 +54,8 @@
   const bool complete = reply.finished.size() < kMaxFinishedPerReply;
   if (!target->reconciled && complete) {
     target->reconciled = true;
-    target->lease_expires_at =
-        now + this->settings.clock_margin +
-        std::chrono::duration_cast<Duration>(this->settings.lease_duration *
-                                             (1.0 + this->settings.clock_drift));
+    target->lease_expires_at = std::max(target->earlier_deadlines_expire_at,
+                                        this->LeaseExpiry(now, this->settings.lease_duration));
     this->schedule_due = true;
   }
   for (const FinishedRun& end : reply.finished) {
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -98,6 +98,8 @@
                                           {"open-starts", std::to_string(target->tasks.size())}});
   target->incarnation = incarnation;
   ForgetClock(target);
+  this->CoverEarlierDeadlines(target, target->deadlines_arrive_until);
+  target->deadlines_arrive_until = TimePoint{};
   target->reconciled = false;
   target->last_seen_end = 0;
   target->last_durable_end = 0;
@@ -203,6 +205,36 @@
   target->lease_deadline.reset();
 }
 
+TimePoint Cell::LeaseExpiry(TimePoint arrival, Duration lease) const {
+  return arrival + this->settings.clock_margin +
+         std::chrono::duration_cast<Duration>(lease * (1.0 + this->settings.clock_drift));
+}
+
+void Cell::NoteDeadline(Target* target, const internal::SentOrder& sent, OrderStatus status,
+                        TimePoint now) {
+  if (!sent.has_deadline) {
+    return;
+  }
+  const bool may_arrive_late = status == OrderStatus::kNoAnswer;
+  const TimePoint arrival = may_arrive_late ? now + this->settings.max_order_delay : now;
+  if (sent.incarnation == target->incarnation) {
+    target->deadlines_arrive_until = std::max(target->deadlines_arrive_until, arrival);
+  } else {
+    this->CoverEarlierDeadlines(target, arrival);
+  }
+}
+
+void Cell::CoverEarlierDeadlines(Target* target, TimePoint arrival) {
+  if (arrival == TimePoint{}) {
+    return;
+  }
+  target->earlier_deadlines_expire_at =
+      std::max(target->earlier_deadlines_expire_at,
+               this->LeaseExpiry(arrival, this->settings.max_lease_duration));
+  target->lease_expires_at =
+      std::max(target->lease_expires_at, target->earlier_deadlines_expire_at);
+}
+
 void Cell::UpdateClock(Target* target, const std::optional<TargetTime>& clock, TimePoint now) {
   target->answered = target->answered || clock;
   // Answers may arrive out of order, so an older reading may follow a newer one.
@@ -269,6 +301,7 @@
   sent.kind = internal::SentOrder::Kind::kHold;
   sent.hold_number = target->holds_sent;
   sent.acked_end = hold.acked_end;
+  sent.has_deadline = hold.deadline.has_value();
   // A target that seems silent may only be slow to answer.
   const bool silent = target->failed_holds >= this->settings.health.max_failed_holds;
   const Duration margin =
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -58,6 +58,7 @@
   start.checkpoint = task->checkpoint;
   internal::SentOrder sent;
   sent.kind = internal::SentOrder::Kind::kStart;
+  sent.has_deadline = true;
   sent.task = key;
   sent.run = task->run;
   (task->sends == 0 ? this->counts.starts : this->counts.start_retries)++;
@@ -130,6 +131,7 @@
     ForgetClock(target);
     return;
   }
+  this->NoteDeadline(target, sent, reply.status, now);
   this->UpdateClock(target, reply.clock, now);
   switch (sent.kind) {
     case internal::SentOrder::Kind::kStart:
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -27,6 +27,8 @@
   /// longer than the takeover of a cell (2 s). On the other hand, the tasks of a lost target start
   /// elsewhere only after the lease has expired.
   Duration lease_duration = std::chrono::milliseconds(7500);
+  /// Longest lease that a target grants. It shortens the lease of a later deadline to this.
+  Duration max_lease_duration = std::chrono::seconds(10);
   /// Replaces `lease_duration` on a draining target. Its long-running tasks that could not leave it
   /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
   /// ended. It still exceeds the takeover of a cell.
@@ -177,6 +179,11 @@
   /// Latest end of the lease that an order has set, on the target's clock.
   std::optional<TargetTime> lease_deadline;
   TimePoint lease_expires_at{};  ///< every run on the target has ended by then unless extended
+  /// Latest time at which a deadline that was sent to the incarnation may arrive.
+  TimePoint deadlines_arrive_until{};
+  /// Latest end of a lease that the incarnation takes from a deadline sent to an earlier one. The
+  /// clock starts anew in each incarnation, so such a deadline may lie far ahead.
+  TimePoint earlier_deadlines_expire_at{};
   /// An incarnation of the target has answered this owner, which may have extended its lease since.
   bool answered = false;
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
@@ -216,6 +223,7 @@
   RunNumber run = 0;
   std::uint64_t hold_number = 0;  ///< of a hold: its number among the holds to the target
   std::uint64_t acked_end = 0;    ///< of a hold: see `HoldOrder::acked_end`
+  bool has_deadline = false;      ///< of a start or a hold: it extends the lease
   bool orphaned_run = false;      ///< of a stop: no task of the cell waits for its answer
   enum class Kind { kStart, kStop, kHold, kPace } kind = Kind::kHold;
   std::uint32_t pace = 100;  ///< of a pace order, in percent of full speed
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -101,6 +101,20 @@
     return start->first;
   }
 
+  /// Advances until \a end; all orders get lost.
+  void LoseOrdersUntil(TimePoint end) {
+    while (this->now < end) {
+      this->Advance(milliseconds(100));
+      for (const OutgoingOrder& order : std::exchange(this->sent, {})) {
+        if (std::holds_alternative<HoldOrder>(order.order.order)) {
+          this->cell.OnHoldReply(order.ticket, HoldReply{}, this->now);
+        } else {
+          this->cell.OnOrderReply(order.ticket, OrderReply{}, this->now);
+        }
+      }
+    }
+  }
+
   TimePoint now{std::chrono::hours(1)};
   Duration estimate = seconds(1);  ///< of the submitted task
   QueueSettings queue;
@@ -238,6 +252,58 @@
   }
 }
 
+// A restarted target counts its time anew, so a deadline that was meant for its earlier incarnation
+// lies far ahead. The target cuts it to the longest lease, 10 s, on a clock that may be slow.
+constexpr Duration kLongestLease = milliseconds(10200);
+
+TEST_CASE("runs of a next incarnation are not given up while a deadline of the earlier one holds",
+          "[cell][holds]") {
+  CellFixture fixture;
+  fixture.estimate = std::chrono::minutes(2);
+  const OrderTicket start = fixture.PlaceTask();
+  HoldReply restarted = fixture.Reply(kIncarnation + 1);
+  restarted.clock = TargetTime(900);
+  restarted.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  TimePoint lease_end;
+
+  SECTION("of the hold that the next incarnation answers") {
+    OrderReply done;
+    done.status = OrderStatus::kDone;
+    fixture.cell.OnOrderReply(start, done, fixture.now);
+    fixture.AnswerHold(restarted);
+    lease_end = fixture.now + kLongestLease;
+  }
+  SECTION("of a start that the next incarnation answers after a hold") {
+    fixture.AnswerHold(restarted);
+    fixture.now += milliseconds(300);
+    OrderReply done;
+    done.status = OrderStatus::kDone;
+    done.clock = TargetTime(1200);
+    fixture.cell.OnOrderReply(start, done, fixture.now);
+    lease_end = fixture.now + kLongestLease;
+  }
+  SECTION("of a start that arrives late") {
+    const TimePoint sent_at = fixture.now;
+    fixture.cell.OnOrderReply(start, OrderReply{}, fixture.now);
+    fixture.AnswerHold(restarted);
+    while (fixture.now < sent_at + seconds(8)) {
+      fixture.Advance(milliseconds(500));
+      restarted.clock = *restarted.clock + TargetTime(490);
+      if (!fixture.sent.empty()) {
+        fixture.AnswerHold(restarted);
+      }
+    }
+    lease_end = sent_at + seconds(12) + kLongestLease;
+  }
+  REQUIRE(TaskOf(fixture).incarnation.number == kIncarnation + 1);
+  fixture.LoseOrdersUntil(lease_end);
+  CHECK(TaskOf(fixture).run == 1);
+  CHECK(TaskOf(fixture).HoldsResources());
+  // The wait has an end.
+  fixture.LoseOrdersUntil(lease_end + seconds(2));
+  CHECK_FALSE(TaskOf(fixture).HoldsResources());
+}
+
 TEST_CASE("an assignment to a target without a lease waits for its commit", "[cell][holds]") {
   // In a store outage no lease is extended, and the commit of an assignment has no answer.
   CellFixture fixture;
