Ignore clock readings in answers to orders of an earlier incarnation

Cause: an answer of the earlier incarnation that was handled after the registration of the next one set its clock. The clock starts anew, so all readings of the next incarnation were taken for older ones. It got deadlines far ahead, which it cuts to 10 s, while the owner counted 7.5 s. Change: the clock is read only from answers to orders that were sent to the present incarnation. Evidence: the new case failed on the code before; it passes now, as do test_scheduling and the emulator's cases but the fuzz (not run) and the known failure "best-effort work is done beside long-running best-effort tasks".

--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -132,7 +132,10 @@
     return;
   }
   this->NoteDeadline(target, sent, reply.status, now);
-  this->UpdateClock(target, reply.clock, now);
+  target->answered = target->answered || reply.clock;
+  if (sent.incarnation == target->incarnation) {
+    UpdateClock(target, reply.clock, now);
+  }
   switch (sent.kind) {
     case internal::SentOrder::Kind::kStart:
       this->OnStartReply(sent, reply, now);
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -304,6 +304,29 @@
   CHECK_FALSE(TaskOf(fixture).HoldsResources());
 }
 
+TEST_CASE("an answer of an earlier incarnation does not set the clock of the next one",
+          "[cell][holds]") {
+  // Deadlines far ahead on the clock of the next incarnation would be cut to 10 s.
+  CellFixture fixture;
+  fixture.estimate = std::chrono::minutes(2);
+  const OrderTicket start = fixture.PlaceTask();
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  OrderReply late;
+  late.status = OrderStatus::kDone;
+  late.clock = fixture.Reply().clock;
+  fixture.cell.OnOrderReply(start, late, fixture.now);
+  HoldReply restarted = fixture.Reply(kIncarnation + 1);
+  restarted.clock = TargetTime(900);
+  restarted.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.AnswerHold(restarted);
+  fixture.Advance(milliseconds(100));
+  const auto hold = fixture.Take<HoldOrder>();
+  REQUIRE(hold);
+  REQUIRE(hold->second.deadline);
+  REQUIRE(*hold->second.deadline <= TargetTime(900 + 100 + 7500));
+}
+
 TEST_CASE("an assignment to a target without a lease waits for its commit", "[cell][holds]") {
   // In a store outage no lease is extended, and the commit of an assignment has no answer.
   CellFixture fixture;
