--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -22,8 +22,8 @@
 /// incarnation of the target or the expiry of its lease shows that the run has ended.
 class Cell {
  public:
-  /// \brief Creates the cell at the time when this process became its owner.
-  /// \param token fencing token of this ownership
+  /// \brief Creates the cell at the time when this process learned that it is the owner. No lease
+  /// is extended before `ConfirmOwnership`. \param token fencing token of this ownership
   Cell(CellId id, const CellSettings& settings, FencingToken token, TimePoint now);
 
   /// \brief Replaces the active configuration.
@@ -91,7 +91,8 @@
 
   /// \brief Records that the store confirmed this owner; leases may be extended for
   /// `CellSettings::store_outage_tolerance` after \a at.
-  /// \param at time of the confirmation; times before the latest one change nothing
+  /// \param at a time at which this process owned the cell for certain, such as that of sending the
+  ///   write that the store has confirmed; times before the latest one change nothing
   void ConfirmOwnership(TimePoint at);
 
   /// \returns the orders enqueued since the last call.
@@ -200,6 +201,15 @@
   std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
   /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
   bool MayExtendLeases(TimePoint now) const;
+  /// \returns when a lease of the duration \a lease ends at the latest, if its order arrives at
+  ///   \a arrival.
+  TimePoint LeaseExpiry(TimePoint arrival, Duration lease) const;
+  /// Notes until when the deadline of an order may arrive at the target.
+  void NoteDeadline(Target* target, const internal::SentOrder& sent, OrderStatus status,
+                    TimePoint now);
+  /// Accounts for a deadline that was sent to an earlier incarnation of the target and arrives at
+  /// \a arrival.
+  void CoverEarlierDeadlines(Target* target, TimePoint arrival);
   /// Discards what is known of a target's clock, which starts anew in each incarnation.
   static void ForgetClock(Target* target);
   /// Stores a reading of a target's clock unless a later one is known.
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -60,6 +60,7 @@
   start.checkpoint = task->checkpoint;
   internal::SentOrder sent;
   sent.kind = internal::SentOrder::Kind::kStart;
+  sent.has_deadline = true;
   sent.task = key;
   sent.run = task->run;
   (task->sends == 0 ? this->counts.starts : this->counts.start_retries)++;
@@ -132,7 +133,11 @@
     ForgetClock(target);
     return;
   }
-  this->UpdateClock(target, reply.clock, now);
+  this->NoteDeadline(target, sent, reply.status, now);
+  target->answered = target->answered || reply.clock;
+  if (sent.incarnation == target->incarnation) {
+    UpdateClock(target, reply.clock, now);
+  }
   switch (sent.kind) {
     case internal::SentOrder::Kind::kStart:
       this->OnStartReply(sent, reply, now);
