Bound the starts of a task that crashes targets when others are lost with it

Cause: targets that crashed within 0.5 s of each other counted as an outage and against no task, but several tasks that crash targets, placed together after a takeover or a store outage, look the same. On a busy site no target was quiet for 0.5 s within the wait of 1 s, so the task was never apart, and a crash that a new owner found did not count as certain. A target that had been lost already was also counted twice among the others. Change: only a large part of a rack or of all targets is an outage. Other losses of several targets count towards a second limit, of four losses, if the run was apart or had just begun; so does the loss of a single target that never comes back. A suspect that finds no quiet target has one kept for it until it is quiet.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -124,12 +124,12 @@
       Task& task = *this->FindSubmission(key.submission)->FindTask(key);
       // The target has restarted since the earlier owner assigned the run.
       if (task.incarnation.number < target.incarnation) {
-        lost_runs.push_back(internal::LostRun{key, false, task.crash_record.isolated});
+        lost_runs.push_back(internal::LostRun{key, false, task.crash_record.isolated, true, false});
       }
       task.incarnation.number = target.incarnation;
     }
     if (!lost_runs.empty()) {
-      this->CountCrash(lost_runs, id);
+      this->CountCrash(&lost_runs, LossKind::kAlone, true, id);
     }
   }
   for (const auto& [id, target] : this->targets) {
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -222,24 +222,28 @@
 
   // Tasks that crash their targets (cell_crashes.cc).
   /// \returns the runs on the target that had not lasted for `CrashSettings::suspicion_time` when
-  ///   the target last answered.
-  std::vector<internal::LostRun> RecentRuns(const Target& target);
-  /// \returns true if the target was lost together with others, as in a loss of power or of a
-  ///   rack, so that no run of its own explains the loss.
-  bool LostInOutage(const Target& target, TimePoint now) const;
+  ///   the target last answered, before it was lost at \a lost_at.
+  std::vector<internal::LostRun> RecentRuns(const Target& target, TimePoint lost_at);
+  LossKind KindOfLoss(const Target& target, TimePoint now) const;
   /// Suspects the recent runs of a target that was lost, and counts the crash against them if
   /// \a proven. Called before the runs are requeued.
   void RecordLoss(Target* target, bool proven, TimePoint now);
   /// Counts a crash against the tasks of \a runs. Submissions of tasks with too many crashes fail.
-  void CountCrash(const std::vector<internal::LostRun>& runs, const TargetId& target);
+  void CountCrash(std::vector<internal::LostRun>* runs, LossKind kind, bool proven,
+                  const TargetId& target);
   /// Counts the crash of a target whose lease had expired before it registered again.
   void CountUnprovenCrash(const TargetEntry& entry, TimePoint now);
   /// Forgets the suspicion against the task of a run that has lasted long enough.
   void ClearSuspicion(Target* target, const TaskKey& key, Task* task, TimePoint now);
   /// Stops the runs of the submissions in `ending_submissions` and ends those without runs.
   void EndPendingSubmissions(TimePoint now);
-  /// \returns true if no run was started on the target for `CrashSettings::quiet_time`.
-  bool IsQuiet(const Target& target, TimePoint now);
+  /// \returns true if no run was started on the target for `CrashSettings::quiet_time`, and it is
+  ///   not kept for another task than \a key.
+  bool IsQuiet(const Target& target, const TaskKey& key, TimePoint now);
+  /// Keeps a target for a suspected task until it is quiet, unless one is kept for it already.
+  void KeepTargetForSuspect(const Submission& submission, const TaskKey& key, TimePoint now);
+  /// Releases the targets whose suspected task neither runs there nor waits for a quiet target.
+  void ReleaseKeptTargets(TimePoint now);
   /// \returns true if another target may be kept for a suspected task.
   bool MayIsolate() const;
   /// \returns true if the task has to be started apart from others and may still wait for a target
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -4,7 +4,7 @@
 
 namespace pistachio {
 
-std::vector<internal::LostRun> Cell::RecentRuns(const Target& target) {
+std::vector<internal::LostRun> Cell::RecentRuns(const Target& target, TimePoint lost_at) {
   std::vector<internal::LostRun> runs;
   for (const TaskKey& key : target.tasks) {
     const Task& task = *this->FindSubmission(key.submission)->FindTask(key);
@@ -16,13 +16,14 @@
     const bool recent =
         !confirmed || target.clock_at - task.started_at < this->settings.crash.suspicion_time;
     if (!unsent && recent) {
-      runs.push_back(internal::LostRun{key, confirmed, task.crash_record.isolated});
+      const bool fresh = !confirmed || lost_at - task.started_at < this->settings.crash.quiet_time;
+      runs.push_back(internal::LostRun{key, confirmed, task.crash_record.isolated, fresh, false});
     }
   }
   return runs;
 }
 
-bool Cell::LostInOutage(const Target& target, TimePoint now) const {
+LossKind Cell::KindOfLoss(const Target& target, TimePoint now) const {
   const TargetLoss loss{target.failed_holds > 0 ? target.silent_since : now, target.entry.labels,
                         target.suspect_task.has_value()};
   std::vector<TargetLoss> others(this->recent_losses.begin(), this->recent_losses.end());
@@ -30,12 +31,12 @@
   for (const auto& [id, other] : this->targets) {
     labels.push_back(other.entry.labels);
     // Targets that never answered this owner seem to be lost together at the takeover.
-    if (id != target.entry.id && other.failed_holds > 0 && other.answered) {
+    if (id != target.entry.id && other.failed_holds > 0 && other.answered && !other.loss_recorded) {
       others.push_back(
           TargetLoss{other.silent_since, other.entry.labels, other.suspect_task.has_value()});
     }
   }
-  return IsOutage(loss, others, labels, this->settings.crash);
+  return ClassifyLoss(loss, others, labels, this->settings.crash);
 }
 
 void Cell::RecordLoss(Target* target, bool proven, TimePoint now) {
@@ -43,8 +44,9 @@
   if (target->tasks.empty() || target->entry.state == TargetState::kDraining) {
     return;
   }
-  const bool outage = this->LostInOutage(*target, now);
-  std::vector<internal::LostRun> runs = this->RecentRuns(*target);
+  const LossKind kind = this->KindOfLoss(*target, now);
+  std::vector<internal::LostRun> runs =
+      this->RecentRuns(*target, target->failed_holds > 0 ? target->silent_since : now);
   // One suspected task that ran apart from others explains the crash.
   const auto culprit = std::find_if(runs.begin(), runs.end(), [this](const auto& run) {
     const Task& task = *this->FindSubmission(run.task.submission)->FindTask(run.task);
@@ -57,7 +59,7 @@
             {{"cell", this->cell_id.str()},
              {"target", target->entry.id.str()},
              {"proven", proven ? "yes" : "no"},
-             {"outage", outage ? "yes" : "no"},
+             {"lost", NameOf(kind)},
              {"recent-runs", std::to_string(runs.size())},
              {"suspect", target->suspect_task ? target->suspect_task->str() : ""}});
   while (!this->recent_losses.empty() &&
@@ -66,23 +68,21 @@
   }
   this->recent_losses.push_back(TargetLoss{target->failed_holds > 0 ? target->silent_since : now,
                                            target->entry.labels, target->suspect_task.has_value()});
-  if (outage) {
+  target->loss_recorded = true;
+  if (kind == LossKind::kOutage) {
     return;
   }
-  for (const internal::LostRun& run : runs) {
-    this->FindSubmission(run.task.submission)->FindTask(run.task)->crash_record.suspect = true;
-  }
-  if (proven) {
-    this->CountCrash(runs, target->entry.id);
-  } else {
+  this->CountCrash(&runs, kind, proven, target->entry.id);
+  if (!proven) {
     this->unproven_crashes[target->entry.address] =
-        internal::UnprovenCrash{target->incarnation, now, runs};
+        internal::UnprovenCrash{kind, target->incarnation, now, std::move(runs)};
   }
 }
 
-void Cell::CountCrash(const std::vector<internal::LostRun>& runs, const TargetId& target) {
-  this->counts.targets_crashed++;
-  for (const internal::LostRun& run : runs) {
+void Cell::CountCrash(std::vector<internal::LostRun>* runs, LossKind kind, bool proven,
+                      const TargetId& target) {
+  this->counts.targets_crashed += proven ? 1 : 0;
+  for (internal::LostRun& run : *runs) {
     Submission* submission = this->FindSubmission(run.task.submission);
     Task* task = submission == nullptr ? nullptr : submission->FindTask(run.task);
     if (task == nullptr || task->phase == TaskPhase::kDone || submission->Ended()) {
@@ -90,26 +90,33 @@
     }
     CrashRecord& record = task->crash_record;
     record.suspect = true;
-    // A start without an answer may not have arrived before the crash.
-    if (run.confirmed || run.isolated) {
-      record.crashes++;
+    const bool apart = kind == LossKind::kAlone && run.isolated;
+    // Without a proof the target may be cut off. A single such target that was lost when it had
+    // started a suspect counts as a loss all the same.
+    const bool possible = proven && (kind == LossKind::kAlone || run.isolated || run.fresh);
+    if (!run.counted && (possible || apart)) {
+      record.losses++;
+      run.counted = true;
     }
+    // A start without an answer may not have arrived before the crash.
+    const bool certain = proven && kind == LossKind::kAlone && (run.confirmed || run.isolated);
+    record.crashes += certain ? 1 : 0;
     this->MarkDirty(run.task.submission, true);
     this->Log(EventCode::kTaskSuspected, {{"task", run.task.str()},
                                           {"run", std::to_string(task->run)},
                                           {"target", target.str()},
                                           {"crashes", std::to_string(record.crashes)},
+                                          {"losses", std::to_string(record.losses)},
                                           {"isolated", run.isolated ? "yes" : "no"}});
-    const bool given_up =
-        IsGivenUp(CrashRecord{record.crashes, true, run.isolated}, this->settings.crash);
-    if (given_up && !submission->cancelled && !submission->failed) {
+    const CrashRecord latest{record.crashes, record.losses, true, certain && run.isolated};
+    if (IsGivenUp(latest, this->settings.crash) && !submission->cancelled && !submission->failed) {
       submission->failed = true;
       this->counts.tasks_given_up++;
       this->ending_submissions.push_back(run.task.submission);
       this->Log(EventCode::kSubmissionFailed, {{"submission", run.task.submission.str()},
                                                {"task", run.task.str()},
                                                {"failures", std::to_string(task->failures)},
-                                               {"crashes", std::to_string(record.crashes)}});
+                                               {"crashes", std::to_string(record.losses)}});
     }
   }
 }
@@ -119,10 +126,10 @@
   if (found == this->unproven_crashes.end() || entry.incarnation <= found->second.incarnation) {
     return;
   }
-  const internal::UnprovenCrash crash = std::move(found->second);
+  internal::UnprovenCrash crash = std::move(found->second);
   this->unproven_crashes.erase(found);
   if (now - crash.lost_at <= this->settings.crash.loss_memory) {
-    this->CountCrash(crash.runs, entry.id);
+    this->CountCrash(&crash.runs, crash.kind, true, entry.id);
   }
 }
 
@@ -149,16 +156,53 @@
   }
 }
 
-bool Cell::IsQuiet(const Target& target, TimePoint now) {
-  if (target.suspect_task || now - target.last_assigned_at < this->settings.crash.quiet_time) {
+bool Cell::IsQuiet(const Target& target, const TaskKey& key, TimePoint now) {
+  if ((target.suspect_task && target.suspect_task != key) ||
+      now - target.last_assigned_at < this->settings.crash.quiet_time) {
     return false;
   }
-  return std::none_of(target.tasks.begin(), target.tasks.end(), [this](const TaskKey& key) {
-    const TaskPhase phase = this->FindSubmission(key.submission)->FindTask(key)->phase;
+  return std::none_of(target.tasks.begin(), target.tasks.end(), [this](const TaskKey& other) {
+    const TaskPhase phase = this->FindSubmission(other.submission)->FindTask(other)->phase;
     return phase == TaskPhase::kAssigned || phase == TaskPhase::kStarting;
   });
 }
 
+void Cell::KeepTargetForSuspect(const Submission& submission, const TaskKey& key, TimePoint now) {
+  const StepSpec& spec = submission.Step(key.step);
+  const ServiceId service = this->ServiceOf(submission);
+  Target* best = nullptr;
+  for (auto& [id, target] : this->targets) {
+    if (target.suspect_task == key) {
+      return;
+    }
+    const bool possible = !target.suspect_task && this->MayRunOn(target, spec, service, now) &&
+                          spec.need.FitsIn(target.load.capacity) &&
+                          !this->IsAtStepLimit(target, spec, key);
+    if (possible && (best == nullptr || LoadShare(target.load) < LoadShare(best->load))) {
+      best = &target;
+    }
+  }
+  if (best != nullptr && this->MayIsolate()) {
+    best->suspect_task = key;
+  }
+}
+
+void Cell::ReleaseKeptTargets(TimePoint now) {
+  for (auto& [id, target] : this->targets) {
+    if (!target.suspect_task || target.tasks.count(*target.suspect_task) != 0) {
+      continue;
+    }
+    Submission* submission = this->FindSubmission(target.suspect_task->submission);
+    const Task* task = submission == nullptr ? nullptr : submission->FindTask(*target.suspect_task);
+    const bool waits = task != nullptr && task->phase == TaskPhase::kWaiting &&
+                       !submission->cancelled && !submission->failed &&
+                       this->WaitsForQuietTarget(*task, now);
+    if (!waits) {
+      target.suspect_task.reset();
+    }
+  }
+}
+
 bool Cell::MayIsolate() const {
   const auto kept =
       std::count_if(this->targets.begin(), this->targets.end(),
--- a/pistachio/process/scheduling/cell_evacuation.cc
+++ b/pistachio/process/scheduling/cell_evacuation.cc
@@ -80,7 +80,8 @@
     // Short tasks soon free their resources; long-running tasks do not.
     const double share = id == task.destination ? std::numeric_limits<double>::infinity()
                                                 : internal::SmallestFreeShare(target, need);
-    if ((target.long_running_used + target.reserved + need).FitsIn(target.load.capacity) &&
+    if (!target.suspect_task &&
+        (target.long_running_used + target.reserved + need).FitsIn(target.load.capacity) &&
         (best == nullptr || share > best_share) && !this->IsAtStepLimit(target, spec, key) &&
         this->MayRunOn(target, spec, service, now)) {
       best = &target;
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -24,7 +24,10 @@
     return;
   }
   if (reply.status != OrderStatus::kDone) {
-    target->silent_since = target->failed_holds == 0 ? now : target->silent_since;
+    if (target->failed_holds == 0) {
+      target->silent_since = now;
+      target->loss_recorded = false;
+    }
     this->NoteDeadline(target, sent, reply.status, now);
     target->failed_holds++;
     target->next_hold_at = now + this->settings.hold_retry_delay;
--- a/pistachio/process/scheduling/cell_moves.cc
+++ b/pistachio/process/scheduling/cell_moves.cc
@@ -33,7 +33,7 @@
       room.targets++;
       room.capacity_cpu += target.load.capacity.cpu_millis;
     }
-    if (this->TakesWork(target, now)) {
+    if (this->TakesWork(target, now) && !target.suspect_task) {
       room.free_slots.AddTarget(target.load.capacity.cpu_millis - target.load.used.cpu_millis);
     }
   }
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -94,6 +94,7 @@
     target.reserved_for.clear();
   }
   this->KeepDestinations(now);
+  this->ReleaseKeptTargets(now);
   const std::vector<PendingStep> pending_steps = this->CollectPendingSteps(now);
   for (const PendingStep& pending : pending_steps) {
     if (pending.sort_key.starved) {
@@ -181,6 +182,7 @@
       this->ReleaseReservation(*pending.submission, key, task);
       Target* target = this->ChooseTarget(*pending.submission, key, task, now);
       if (target == nullptr && this->WaitsForQuietTarget(task, now)) {
+        this->KeepTargetForSuspect(*pending.submission, key, now);
         continue;
       }
       if (target == nullptr) {
@@ -228,8 +230,7 @@
 
 bool Cell::TakesWork(const Target& target, TimePoint now) const {
   return target.registered && target.entry.state == TargetState::kReady && target.reconciled &&
-         !target.suspect_task && target.clock &&
-         target.failed_holds < this->settings.health.max_failed_holds &&
+         target.clock && target.failed_holds < this->settings.health.max_failed_holds &&
          target.health.MayStart(now) && !this->HasLeaseBound(target.entry.id);
 }
 
@@ -257,17 +258,18 @@
   const PlacementRequest need{spec.need, spec.best_effort, spec.tail_bound.count() > 0,
                               this->interference_model.IndexOf(spec.image)};
   const bool needs_quiet = this->WaitsForQuietTarget(task, now);
-  if (needs_quiet && !this->MayIsolate()) {
-    return nullptr;
-  }
+  const bool may_isolate = needs_quiet && this->MayIsolate();
   Target* best = nullptr;
   double best_score = 0.0;
   for (auto& [id, target] : this->targets) {
-    if (!this->MayRunOn(target, spec, service, now) ||
+    const bool kept_for_other = target.suspect_task && target.suspect_task != key;
+    if (kept_for_other || !this->MayRunOn(target, spec, service, now) ||
         !FitsOn(need, target.load, this->interference_model, this->settings.placement)) {
       continue;
     }
-    if (this->IsAtStepLimit(target, spec, key) || (needs_quiet && !this->IsQuiet(target, now))) {
+    if (this->IsAtStepLimit(target, spec, key) ||
+        (needs_quiet &&
+         !((may_isolate || target.suspect_task == key) && this->IsQuiet(target, key, now)))) {
       continue;
     }
     Resources used_or_reserved = target.load.used + target.reserved + spec.need;
@@ -311,7 +313,8 @@
   submission->occurrences.at(key.occurrence).steps[key.step].waiting--;
   submission->started = true;
   if (task->crash_record.suspect) {
-    task->crash_record.isolated = this->MayIsolate() && this->IsQuiet(*target, now);
+    task->crash_record.isolated =
+        (target->suspect_task == key || this->MayIsolate()) && this->IsQuiet(*target, key, now);
     if (task->crash_record.isolated) {
       target->suspect_task = key;
     }
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -201,7 +201,8 @@
   /// Holds since the last successful one that were not answered, or were rejected for a reason
   /// other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
-  TimePoint silent_since{};  ///< when `failed_holds` last rose from 0
+  TimePoint silent_since{};    ///< when `failed_holds` last rose from 0
+  bool loss_recorded = false;  ///< its loss since then is in `Cell::recent_losses`
   /// In this scheduling round, resources kept for `reserved_for`, which may not be free yet.
   Resources reserved;
   std::vector<TaskKey> reserved_for;
@@ -213,7 +214,8 @@
   std::map<TaskKey, TimePoint> orphaned_runs;
   TargetHealth health;
   TimePoint last_assigned_at{};  ///< when a run was last assigned
-  /// Suspected task of `CrashRecord` on the target, which gets no other run meanwhile.
+  /// Isolated task on the target, or suspected task that waits for it. The target gets no other run
+  /// meanwhile.
   std::optional<TaskKey> suspect_task;
   TimePoint draining_since{};           ///< when the registration changed to draining
   bool evacuation_wait_logged = false;  ///< `kEvacuationWaits` was logged for this drain
@@ -230,10 +232,13 @@
   TaskKey task;
   bool confirmed = false;  ///< the target had confirmed the run
   bool isolated = false;   ///< see `CrashRecord::isolated`
+  bool fresh = false;      ///< began less than `CrashSettings::quiet_time` before the loss
+  bool counted = false;    ///< included in `CrashRecord::losses`
 };
 
 /// The runs that may have crashed a target whose lease has expired without an answer.
 struct UnprovenCrash {
+  LossKind kind = LossKind::kAlone;
   std::uint64_t incarnation = 0;  ///< of the lost target
   TimePoint lost_at{};            ///< when its lease expired
   std::vector<LostRun> runs;
--- a/pistachio/process/scheduling/crash_blame.cc
+++ b/pistachio/process/scheduling/crash_blame.cc
@@ -18,8 +18,21 @@
 
 }  // namespace internal
 
-bool IsOutage(const TargetLoss& loss, const std::vector<TargetLoss>& others,
-              const std::vector<std::vector<std::string>>& targets, const CrashSettings& settings) {
+const char* NameOf(LossKind kind) {
+  switch (kind) {
+    case LossKind::kAlone:
+      return "alone";
+    case LossKind::kGroup:
+      return "group";
+    case LossKind::kOutage:
+      return "outage";
+  }
+  return "unknown";
+}
+
+LossKind ClassifyLoss(const TargetLoss& loss, const std::vector<TargetLoss>& others,
+                      const std::vector<std::vector<std::string>>& targets,
+                      const CrashSettings& settings) {
   std::vector<const TargetLoss*> together;
   for (const TargetLoss& other : others) {
     const Duration apart = std::max(other.at - loss.at, loss.at - other.at);
@@ -27,24 +40,31 @@
       together.push_back(&other);
     }
   }
-  if (internal::IsLargeShare(together.size(), targets.size(), settings.min_outage_targets,
-                             settings.min_outage_share)) {
-    return true;
+  const bool of_all = internal::IsLargeShare(
+      together.size(), targets.size(), settings.min_outage_targets, settings.min_outage_share);
+  const bool of_label =
+      std::any_of(loss.labels.begin(), loss.labels.end(), [&](const std::string& label) {
+        const auto lost = std::count_if(
+            together.begin(), together.end(),
+            [&](const TargetLoss* other) { return internal::HasLabel(other->labels, label); });
+        const auto total = std::count_if(targets.begin(), targets.end(), [&](const auto& labels) {
+          return internal::HasLabel(labels, label);
+        });
+        return internal::IsLargeShare(static_cast<std::size_t>(lost),
+                                      static_cast<std::size_t>(total), settings.min_outage_targets,
+                                      settings.min_outage_share);
+      });
+  if (of_all || of_label) {
+    return LossKind::kOutage;
   }
-  return std::any_of(loss.labels.begin(), loss.labels.end(), [&](const std::string& label) {
-    const auto lost = std::count_if(together.begin(), together.end(), [&](const TargetLoss* other) {
-      return internal::HasLabel(other->labels, label);
-    });
-    const auto total = std::count_if(
-        targets.begin(), targets.end(),
-        [&](const std::vector<std::string>& labels) { return internal::HasLabel(labels, label); });
-    return internal::IsLargeShare(static_cast<std::size_t>(lost), static_cast<std::size_t>(total),
-                                  settings.min_rack_targets, settings.min_rack_share);
-  });
+  return internal::IsLargeShare(together.size(), targets.size(), settings.min_group_targets,
+                                settings.min_group_share)
+             ? LossKind::kGroup
+             : LossKind::kAlone;
 }
 
 bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings) {
-  return record.crashes >= settings.max_crashes ||
+  return record.losses >= settings.max_losses ||
          (record.isolated && record.crashes >= settings.max_isolated_crashes);
 }
 
--- a/pistachio/process/scheduling/crash_blame.h
+++ b/pistachio/process/scheduling/crash_blame.h
@@ -16,23 +16,23 @@
   /// A suspected task starts on a target on which no other run was started for this time.
   Duration quiet_time = std::chrono::milliseconds(500);
   /// Longest wait of a suspected task for such a target. After it, the task starts anywhere.
-  Duration max_quiet_wait = std::chrono::milliseconds(1000);
+  Duration max_quiet_wait = std::chrono::milliseconds(1500);
   /// Largest fraction of the targets that are kept for suspected tasks at the same time.
   double max_isolated_share = 0.25;
   /// Crashes after which a task is given up if it was isolated during the last one.
   std::uint32_t max_isolated_crashes = 2;
-  /// Crashes after which a task is given up in any case.
-  std::uint32_t max_crashes = 4;
+  /// Losses after which a task is given up in any case.
+  std::uint32_t max_losses = 4;
   /// Targets whose last answers were lost within this time of each other count as lost together.
   Duration outage_window = std::chrono::milliseconds(500);
-  /// Smallest number of targets, and smallest fraction of all targets, lost together that count as
-  /// an outage.
-  std::size_t min_outage_targets = 4;
-  double min_outage_share = 0.05;
-  /// Smallest number and fraction of the targets with the same label, such as a rack, lost together
-  /// that count as an outage.
-  std::size_t min_rack_targets = 3;
-  double min_rack_share = 0.5;
+  /// Smallest number of targets, and smallest fraction of all targets, lost together that may have
+  /// a common cause.
+  std::size_t min_group_targets = 4;
+  double min_group_share = 0.05;
+  /// Smallest number of targets lost together that are an outage if they are at least the fraction
+  /// below of all targets, or of those with the same label, such as a rack.
+  std::size_t min_outage_targets = 3;
+  double min_outage_share = 0.4;
   /// Time after which the loss of a target is forgotten, and the runs of a target whose lease has
   /// expired are no longer blamed when it registers again.
   Duration loss_memory = std::chrono::seconds(60);
@@ -45,15 +45,25 @@
   bool explained = false;           ///< a suspected task was on the target
 };
 
-/// \brief Tells whether a target was lost in an outage of several targets.
+/// \brief What else was lost together with a target.
+enum class LossKind : std::uint8_t {
+  kAlone,   ///< too few other targets for a common cause
+  kGroup,   ///< several targets, from a common cause or by several tasks at the same time
+  kOutage,  ///< a large part of a rack or of all targets
+};
+
+/// \returns the name of \a kind in logs.
+const char* NameOf(LossKind kind);
+
+/// \brief Classifies the loss of a target by the losses of other targets at about the same time.
 /// \param loss the loss in question
 /// \param others the losses of all other targets; explained ones do not count
 /// \param targets the labels of all known targets, those of \a others included
-/// \returns true if as many unexplained losses as `CrashSettings` gives are about as old
-bool IsOutage(const TargetLoss& loss, const std::vector<TargetLoss>& others,
-              const std::vector<std::vector<std::string>>& targets, const CrashSettings& settings);
+LossKind ClassifyLoss(const TargetLoss& loss, const std::vector<TargetLoss>& others,
+                      const std::vector<std::vector<std::string>>& targets,
+                      const CrashSettings& settings);
 
-/// \returns true if a task with this record is to be given up after a crash.
+/// \returns true if a task with this record is to be given up after the loss of its target.
 bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings);
 
 }  // namespace pistachio
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -189,7 +189,8 @@
       submission->FindTask(TaskKey{submission->accepted.id, row.at(0).get<std::uint32_t>(),
                                    row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>()});
   if (task != nullptr) {
-    task->crash_record = CrashRecord{row.at(3).get<std::uint32_t>(), true, row.at(4).get<bool>()};
+    task->crash_record = CrashRecord{row.at(3).get<std::uint32_t>(), row.at(4).get<std::uint32_t>(),
+                                     true, row.at(5).get<bool>()};
   }
 }
 
@@ -258,8 +259,8 @@
       for (std::size_t index = 0; index < tasks.size(); ++index) {
         const CrashRecord& record = tasks[index].crash_record;
         if (record.suspect && tasks[index].phase != TaskPhase::kDone) {
-          suspects.push_back(
-              internal::Json::array({number, step, index, record.crashes, record.isolated}));
+          suspects.push_back(internal::Json::array(
+              {number, step, index, record.crashes, record.losses, record.isolated}));
         }
       }
     }
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -52,8 +52,12 @@
 
 /// \brief What is known of a task whose runs may crash their targets.
 struct CrashRecord {
-  /// Number of targets that are known to have crashed shortly after a run of the task had started.
+  /// Number of targets that are known to have crashed alone, shortly after a run of the task had
+  /// started.
   std::uint32_t crashes = 0;
+  /// Number of targets that are known to have crashed when a run of the task may just have started,
+  /// those of `crashes` included.
+  std::uint32_t losses = 0;
   /// A target may have crashed under the task, and no run has lasted long enough since to show
   /// that the task is harmless.
   bool suspect = false;
@@ -62,7 +66,8 @@
   bool isolated = false;
 
   friend bool operator==(const CrashRecord& a, const CrashRecord& b) {
-    return a.crashes == b.crashes && a.suspect == b.suspect && a.isolated == b.isolated;
+    return a.crashes == b.crashes && a.losses == b.losses && a.suspect == b.suspect &&
+           a.isolated == b.isolated;
   }
 };
 
--- a/tests/scheduling/crash_blame_test.cc
+++ b/tests/scheduling/crash_blame_test.cc
@@ -15,7 +15,7 @@
   return TargetLoss{TimePoint(at), {"kind", rack}, explained};
 }
 
-TEST_CASE("targets lost together are an outage, those lost by chance are not", "[crash_blame]") {
+TEST_CASE("targets lost together are told apart from those lost alone", "[crash_blame]") {
   const CrashSettings settings;
   std::vector<std::vector<std::string>> racks_of_ten(60);
   for (std::size_t target = 0; target < racks_of_ten.size(); ++target) {
@@ -26,17 +26,27 @@
     return std::vector<TargetLoss>(static_cast<std::size_t>(count), LossAt(at, rack, explained));
   };
   const milliseconds same_time(100200);
-  REQUIRE_FALSE(IsOutage(loss, {}, racks_of_ten, settings));
-  REQUIRE_FALSE(IsOutage(loss, losses(3, same_time, "rack-1", false), racks_of_ten, settings));
-  REQUIRE(IsOutage(loss, losses(4, same_time, "rack-1", false), racks_of_ten, settings));
-  REQUIRE_FALSE(IsOutage(loss, losses(9, seconds(102), "rack-0", false), racks_of_ten, settings));
-  REQUIRE_FALSE(IsOutage(loss, losses(9, same_time, "rack-0", true), racks_of_ten, settings));
+  REQUIRE(ClassifyLoss(loss, {}, racks_of_ten, settings) == LossKind::kAlone);
+  REQUIRE(ClassifyLoss(loss, losses(3, same_time, "rack-1", false), racks_of_ten, settings) ==
+          LossKind::kAlone);
+  REQUIRE(ClassifyLoss(loss, losses(4, same_time, "rack-1", false), racks_of_ten, settings) ==
+          LossKind::kGroup);
+  REQUIRE(ClassifyLoss(loss, losses(4, same_time, "rack-0", false), racks_of_ten, settings) ==
+          LossKind::kOutage);
+  REQUIRE(ClassifyLoss(loss, losses(24, same_time, "rack-1", false), racks_of_ten, settings) ==
+          LossKind::kOutage);
+  REQUIRE(ClassifyLoss(loss, losses(9, seconds(102), "rack-0", false), racks_of_ten, settings) ==
+          LossKind::kAlone);
+  REQUIRE(ClassifyLoss(loss, losses(9, same_time, "rack-0", true), racks_of_ten, settings) ==
+          LossKind::kAlone);
 
   // In a large installation, a rack is a small fraction of all targets.
   std::vector<std::vector<std::string>> large(600, {"kind", "other"});
   large.insert(large.end(), racks_of_ten.begin(), racks_of_ten.end());
-  REQUIRE(IsOutage(loss, losses(9, same_time, "rack-0", false), large, settings));
-  REQUIRE_FALSE(IsOutage(loss, losses(9, same_time, "rack-1", false), large, settings));
+  REQUIRE(ClassifyLoss(loss, losses(9, same_time, "rack-0", false), large, settings) ==
+          LossKind::kOutage);
+  REQUIRE(ClassifyLoss(loss, losses(9, same_time, "other", false), large, settings) ==
+          LossKind::kAlone);
 }
 
 const SubmissionId kDeadly("00000000000000dd");
@@ -322,6 +332,59 @@
   REQUIRE_FALSE(fixture.submission(kDeadly).failed);
 }
 
+TEST_CASE("a suspected task starts apart although each target starts other work all the time",
+          "[cell][crash_blame]") {
+  CrashFixture fixture;
+  fixture.deadly = false;
+  fixture.AddTarget("a");
+  fixture.AddTarget("b");
+  fixture.Submit(kDeadly, false);
+  fixture.Run(milliseconds(100));
+  fixture.Crash(fixture.AddressOf(kDeadly));
+  ReturnCrashedTarget(&fixture, seconds(3));
+  for (int other = 1; other <= 12; ++other) {
+    fixture.Submit(SubmissionId("000000000000010" + std::to_string(other % 10)), true, 1);
+    fixture.Run(milliseconds(100));
+  }
+  REQUIRE(fixture.TaskOf(kDeadly).phase == TaskPhase::kRunning);
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record.isolated);
+}
+
+TEST_CASE("a task whose targets crash together with others is given up in the end",
+          "[cell][crash_blame]") {
+  // Several tasks that crash their targets at the same time look like a common cause.
+  CrashFixture fixture;
+  for (int target = 0; target < 20; ++target) {
+    fixture.AddTarget("target-" + std::to_string(target));
+  }
+  fixture.Submit(kLongRunning, true, 40);
+  fixture.Run(seconds(3));
+  fixture.Submit(kDeadly, false);
+  for (int crash = 0; crash < 8 && !fixture.submission(kDeadly).failed; ++crash) {
+    while (fixture.starts_of_deadly == crash) {
+      fixture.Run(milliseconds(10));
+    }
+    const std::string crashed = fixture.AddressOf(kDeadly);
+    std::vector<std::string> group{crashed};
+    for (int target = 4 * crash; group.size() < 5; ++target) {
+      const std::string address = "target-" + std::to_string(target % 20);
+      if (address != crashed) {
+        fixture.Crash(address);
+        group.push_back(address);
+      }
+    }
+    fixture.Run(seconds(3));
+    for (const std::string& address : group) {
+      fixture.Replace(address);
+    }
+    fixture.Run(milliseconds(50));
+  }
+  REQUIRE(fixture.submission(kDeadly).failed);
+  // Two more are allowed after three crashes.
+  REQUIRE(fixture.starts_of_deadly <= 5);
+  REQUIRE_FALSE(fixture.submission(kLongRunning).failed);
+}
+
 TEST_CASE("many suspected tasks do not keep other work off most targets", "[cell][crash_blame]") {
   CrashFixture fixture;
   fixture.deadly = false;
@@ -363,7 +426,7 @@
   ReturnCrashedTarget(&fixture, seconds(3));
   fixture.Run(milliseconds(700));
   REQUIRE(fixture.TaskOf(kDeadly).phase == TaskPhase::kRunning);
-  REQUIRE(fixture.TaskOf(kDeadly).crash_record == CrashRecord{1, true, true});
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record == CrashRecord{1, 1, true, true});
   fixture.Submit(kLongRunning, true, 4);
   fixture.Run(milliseconds(500));
   const TargetId target = fixture.TaskOf(kDeadly).incarnation.target;
--- a/tests/scheduling/record_codec_test.cc
+++ b/tests/scheduling/record_codec_test.cc
@@ -79,11 +79,11 @@
   submission.AddOccurrence(0);
   Task& task = submission.occurrences.at(0).steps[0].tasks[1];
   task.run = 2;
-  task.crash_record = CrashRecord{1, true, true};
+  task.crash_record = CrashRecord{1, 2, true, true};
   Submission read;
   read.accepted = submission.accepted;
   REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
-  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].crash_record == CrashRecord{1, true, true});
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].crash_record == CrashRecord{1, 2, true, true});
   REQUIRE(read.occurrences.at(0).steps[0].tasks[0].crash_record == CrashRecord{});
 }
 
