--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -22,8 +22,8 @@
 /// incarnation of the target or the expiry of its lease shows that the run has ended.
 class Cell {
  public:
-  /// \brief Creates the cell at the time when this process became its owner.
-  /// \param token fencing token of this ownership
+  /// \brief Creates the cell at the time when this process learned that it is the owner. No lease
+  /// is extended before `ConfirmOwnership`. \param token fencing token of this ownership
   Cell(CellId id, const CellSettings& settings, FencingToken token, TimePoint now);
 
   /// \brief Replaces the active configuration.
@@ -91,7 +91,8 @@
 
   /// \brief Records that the store confirmed this owner; leases may be extended for
   /// `CellSettings::store_outage_tolerance` after \a at.
-  /// \param at time of the confirmation; times before the latest one change nothing
+  /// \param at a time at which this process owned the cell for certain, such as that of sending the
+  ///   write that the store has confirmed; times before the latest one change nothing
   void ConfirmOwnership(TimePoint at);
 
   /// \returns the orders enqueued since the last call.
@@ -200,6 +201,15 @@
   std::optional<TargetTime> LeaseForStart(Target* target, bool resent, TimePoint now);
   /// \returns true if the store has confirmed this owner recently enough for orders with a lease.
   bool MayExtendLeases(TimePoint now) const;
+  /// \returns when a lease of the duration \a lease ends at the latest, if its order arrives at
+  ///   \a arrival.
+  TimePoint LeaseExpiry(TimePoint arrival, Duration lease) const;
+  /// Notes until when the deadline of an order may arrive at the target.
+  void NoteDeadline(Target* target, const internal::SentOrder& sent, OrderStatus status,
+                    TimePoint now);
+  /// Accounts for a deadline that was sent to an earlier incarnation of the target and arrives at
+  /// \a arrival.
+  void CoverEarlierDeadlines(Target* target, TimePoint arrival);
   /// Discards what is known of a target's clock, which starts anew in each incarnation.
   static void ForgetClock(Target* target);
   /// Stores a reading of a target's clock unless a later one is known.
@@ -210,6 +220,32 @@
   ///   fraction \a drift.
   static TargetTime EstimateClock(const Target& target, TimePoint now, double drift);
 
+  // Tasks that crash their targets (cell_crashes.cc).
+  /// \returns the runs on the target that had not lasted for `CrashSettings::suspicion_time` when
+  ///   the target last answered.
+  std::vector<internal::LostRun> RecentRuns(const Target& target);
+  /// \returns true if the target was lost together with others, as in a loss of power or of a
+  ///   rack, so that no run of its own explains the loss.
+  bool LostInOutage(const Target& target, TimePoint now) const;
+  /// Suspects the recent runs of a target that was lost, and counts the crash against them if
+  /// \a proven. Called before the runs are requeued.
+  void RecordLoss(Target* target, bool proven, TimePoint now);
+  /// Counts a crash against the tasks of \a runs. Submissions of tasks with too many crashes fail.
+  void CountCrash(const std::vector<internal::LostRun>& runs, const TargetId& target);
+  /// Counts the crash of a target whose lease had expired before it registered again.
+  void CountUnprovenCrash(const TargetEntry& entry, TimePoint now);
+  /// Forgets the suspicion against the task of a run that has lasted long enough.
+  void ClearSuspicion(Target* target, const TaskKey& key, Task* task, TimePoint now);
+  /// Stops the runs of the submissions in `ending_submissions` and ends those without runs.
+  void EndPendingSubmissions(TimePoint now);
+  /// \returns true if no run was started on the target for `CrashSettings::quiet_time`.
+  bool IsQuiet(const Target& target, TimePoint now);
+  /// \returns true if another target may be kept for a suspected task.
+  bool MayIsolate() const;
+  /// \returns true if the task has to be started apart from others and may still wait for a target
+  ///   where it can be.
+  bool WaitsForQuietTarget(const Task& task, TimePoint now) const;
+
   // Lists of running and finished runs (cell_lists.cc).
   void HandleFinishedRun(Target* target, const FinishedRun& end, TimePoint now);
   /// Marks a task as done whose earlier run has ended successfully although its lease was thought
@@ -384,14 +420,18 @@
   TimePoint bounds_written_at{};           ///< when the last bounds were computed for a write
   /// Store revisions of the moves of submissions to other cells.
   std::map<SubmissionId, std::uint64_t> moved_away;
-  std::deque<SubmissionId> moved_away_order;  ///< oldest first, to bound the memory
-  TimePoint other_cells_seen_at{};            ///< when there was last another cell with an owner
-  TimePoint acquired_at{};                    ///< when this process became the owner
-  TimePoint ownership_confirmed_at{};         ///< see `ConfirmOwnership`
+  std::map<std::string, internal::UnprovenCrash> unproven_crashes;  ///< by the target's address
+  std::deque<TargetLoss> recent_losses;          ///< oldest first, see `CrashSettings`
+  std::vector<SubmissionId> ending_submissions;  ///< failed or cancelled, to be ended
+  std::deque<SubmissionId> moved_away_order;     ///< oldest first, to bound the memory
+  TimePoint other_cells_seen_at{};               ///< when there was last another cell with an owner
+  TimePoint acquired_at{};                       ///< when this process became the owner
+  TimePoint ownership_confirmed_at{};            ///< see `ConfirmOwnership`
   TimePoint last_commit_at{};
   TimePoint last_schedule_at{};
   TimePoint next_load_log_at{};
   WallTime wall_time{0};  ///< wall clock at the last `Tick`
+  bool ticked = false;    ///< `Tick` has been called, so `wall_time` is known
   bool loaded = false;
   bool is_fenced = false;      ///< see `fenced`
   bool schedule_due = false;   ///< something changed since the last scheduling round
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -1,11 +1,20 @@
 #include <algorithm>
+#include <string_view>
 
 #include "pistachio/process/scheduling/cell.h"
 
 namespace pistachio {
 
+namespace internal {
+
+/// Cause of the loss of runs that is no proof of a crash.
+constexpr const char* kLeaseExpired = "hold-lapsed";
+
+}  // namespace internal
+
 void Cell::PutTarget(const TargetEntry& entry, TimePoint now) {
   this->RequeueRunsOfReplacedTargets(entry, now);
+  this->CountUnprovenCrash(entry, now);
   Target& target = this->targets[entry.id];
   if (target.entry.id.empty()) {
     // An earlier owner may have extended the lease of a target that is new to this owner.
@@ -63,6 +72,7 @@
 
 void Cell::BeginIncarnation(Target* target, std::uint64_t incarnation, TimePoint now,
                             const char* cause) {
+  this->RecordLoss(target, true, now);
   // A start names only the target's id, which the new incarnation may share. Therefore the new
   // incarnation may have carried out, or may still carry out, a start that was sent. Its lists of
   // running and finished runs, and its answers to stops, decide whether such a run is lost.
@@ -85,6 +95,9 @@
       this->tasks_with_orders.insert(key);
     } else if (task->reported) {
       this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else if (task->phase == TaskPhase::kStarting && task->crash_record.suspect) {
+      // The start may have crashed the target and is not sent again.
+      task->sends = this->settings.max_start_attempts;
     } else if (task->phase == TaskPhase::kRunning) {
       task->absent_after_hold = target->holds_sent;
     }
@@ -98,6 +111,8 @@
                                           {"open-starts", std::to_string(target->tasks.size())}});
   target->incarnation = incarnation;
   ForgetClock(target);
+  this->CoverEarlierDeadlines(target, target->deadlines_arrive_until);
+  target->deadlines_arrive_until = TimePoint{};
   target->reconciled = false;
   target->last_seen_end = 0;
   target->last_durable_end = 0;
@@ -127,6 +142,8 @@
   if (target->tasks.empty()) {
     return;
   }
+  const bool proven = std::string_view(cause) != internal::kLeaseExpired;
+  this->RecordLoss(target, proven, now);
   this->counts.targets_lost++;
   this->Log(EventCode::kTargetRunsLost, {{"cell", this->cell_id.str()},
                                          {"target", target->entry.id.str()},
@@ -144,7 +161,7 @@
   std::vector<TargetId> removable;
   for (auto& [id, target] : this->targets) {
     if (now >= target.lease_expires_at) {
-      this->RequeueLostRuns(&target, now, "hold-lapsed");
+      this->RequeueLostRuns(&target, now, internal::kLeaseExpired);
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
         !target.hold_in_flight && now >= target.lease_expires_at) {
@@ -203,6 +220,36 @@
   target->lease_deadline.reset();
 }
 
+TimePoint Cell::LeaseExpiry(TimePoint arrival, Duration lease) const {
+  return arrival + this->settings.clock_margin +
+         std::chrono::duration_cast<Duration>(lease * (1.0 + this->settings.clock_drift));
+}
+
+void Cell::NoteDeadline(Target* target, const internal::SentOrder& sent, OrderStatus status,
+                        TimePoint now) {
+  if (!sent.has_deadline) {
+    return;
+  }
+  const bool may_arrive_late = status == OrderStatus::kNoAnswer;
+  const TimePoint arrival = may_arrive_late ? now + this->settings.max_order_delay : now;
+  if (sent.incarnation == target->incarnation) {
+    target->deadlines_arrive_until = std::max(target->deadlines_arrive_until, arrival);
+  } else {
+    this->CoverEarlierDeadlines(target, arrival);
+  }
+}
+
+void Cell::CoverEarlierDeadlines(Target* target, TimePoint arrival) {
+  if (arrival == TimePoint{}) {
+    return;
+  }
+  target->earlier_deadlines_expire_at =
+      std::max(target->earlier_deadlines_expire_at,
+               this->LeaseExpiry(arrival, this->settings.max_lease_duration));
+  target->lease_expires_at =
+      std::max(target->lease_expires_at, target->earlier_deadlines_expire_at);
+}
+
 void Cell::UpdateClock(Target* target, const std::optional<TargetTime>& clock, TimePoint now) {
   target->answered = target->answered || clock;
   // Answers may arrive out of order, so an older reading may follow a newer one.
@@ -232,6 +279,9 @@
   } else {
     load.used -= counted;
     target->long_running_used -= spec.long_running ? counted : Resources{};
+    if (target->suspect_task == key) {
+      target->suspect_task.reset();
+    }
   }
   this->UpdateSharingLists(target);
 }
@@ -269,6 +319,7 @@
   sent.kind = internal::SentOrder::Kind::kHold;
   sent.hold_number = target->holds_sent;
   sent.acked_end = hold.acked_end;
+  sent.has_deadline = hold.deadline.has_value();
   // A target that seems silent may only be slow to answer.
   const bool silent = target->failed_holds >= this->settings.health.max_failed_holds;
   const Duration margin =
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -27,7 +27,9 @@
     if (task->order_in_flight || now < task->retry_at) {
       continue;
     }
-    if (starting) {
+    if (starting && task->sends >= this->settings.max_start_attempts) {
+      this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+    } else if (starting) {
       this->SendStart(submission, key, task, now);
     } else {
       this->SendStop(key, task, now);
@@ -58,6 +60,7 @@
   start.checkpoint = task->checkpoint;
   internal::SentOrder sent;
   sent.kind = internal::SentOrder::Kind::kStart;
+  sent.has_deadline = true;
   sent.task = key;
   sent.run = task->run;
   (task->sends == 0 ? this->counts.starts : this->counts.start_retries)++;
@@ -130,7 +133,11 @@
     ForgetClock(target);
     return;
   }
-  this->UpdateClock(target, reply.clock, now);
+  this->NoteDeadline(target, sent, reply.status, now);
+  target->answered = target->answered || reply.clock;
+  if (sent.incarnation == target->incarnation) {
+    UpdateClock(target, reply.clock, now);
+  }
   switch (sent.kind) {
     case internal::SentOrder::Kind::kStart:
       this->OnStartReply(sent, reply, now);
@@ -288,6 +295,8 @@
   waiting.run = task->run;
   waiting.failures = task->failures;
   waiting.checkpoint = task->checkpoint;
+  waiting.crash_record = task->crash_record;
+  waiting.crash_record.isolated = false;
   waiting.phase_since = now;
   waiting.run_seen_at = task->run_seen_at;
   const Target* target = this->FindTarget(task->incarnation.target);
@@ -352,6 +361,10 @@
   if (!ended) {
     return;
   }
+  if (!this->ticked) {
+    this->ending_submissions.push_back(id);
+    return;
+  }
   submission->ended_at = this->wall_time;
   this->open_submissions.erase(id);
   this->ended_submissions.push_back(id);
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pistachio/process/runtime/event_catalogue.h"
+#include "pistachio/process/scheduling/crash_blame.h"
 #include "pistachio/process/scheduling/move_choice.h"
 #include "pistachio/process/scheduling/orders.h"
 #include "pistachio/process/scheduling/placement.h"
@@ -27,6 +28,8 @@
   /// longer than the takeover of a cell (2 s). On the other hand, the tasks of a lost target start
   /// elsewhere only after the lease has expired.
   Duration lease_duration = std::chrono::milliseconds(7500);
+  /// Longest lease that a target grants. It shortens the lease of a later deadline to this.
+  Duration max_lease_duration = std::chrono::seconds(10);
   /// Replaces `lease_duration` on a draining target. Its long-running tasks that could not leave it
   /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
   /// ended. It still exceeds the takeover of a cell.
@@ -103,6 +106,7 @@
   TargetHealthSettings health;
   StragglerSettings straggler;
   MoveSettings move;
+  CrashSettings crash;
 };
 
 /// \brief Number that matches an order to its answer, unique within one `Cell`.
@@ -148,6 +152,8 @@
   std::uint64_t ends_other = 0;     ///< runs that ended otherwise, such as stopped or lease expired
   std::uint64_t moves = 0;          ///< submissions moved to other cells
   std::uint64_t targets_lost = 0;   ///< times that all runs on a target were given up as ended
+  std::uint64_t targets_crashed = 0;  ///< crashes of targets, without those in outages
+  std::uint64_t tasks_given_up = 0;   ///< tasks that crashed too many targets
 };
 
 namespace internal {
@@ -177,6 +183,11 @@
   /// Latest end of the lease that an order has set, on the target's clock.
   std::optional<TargetTime> lease_deadline;
   TimePoint lease_expires_at{};  ///< every run on the target has ended by then unless extended
+  /// Latest time at which a deadline that was sent to the incarnation may arrive.
+  TimePoint deadlines_arrive_until{};
+  /// Latest end of a lease that the incarnation takes from a deadline sent to an earlier one. The
+  /// clock starts anew in each incarnation, so such a deadline may lie far ahead.
+  TimePoint earlier_deadlines_expire_at{};
   /// An incarnation of the target has answered this owner, which may have extended its lease since.
   bool answered = false;
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
@@ -190,6 +201,7 @@
   /// Holds since the last successful one that were not answered, or were rejected for a reason
   /// other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
+  TimePoint silent_since{};  ///< when `failed_holds` last rose from 0
   /// In this scheduling round, resources kept for `reserved_for`, which may not be free yet.
   Resources reserved;
   std::vector<TaskKey> reserved_for;
@@ -200,12 +212,31 @@
   /// Reported runs that no task of the cell accounts for, with the earliest time of the next stop.
   std::map<TaskKey, TimePoint> orphaned_runs;
   TargetHealth health;
+  TimePoint last_assigned_at{};  ///< when a run was last assigned
+  /// Suspected task of `CrashRecord` on the target, which gets no other run meanwhile.
+  std::optional<TaskKey> suspect_task;
   TimePoint draining_since{};           ///< when the registration changed to draining
   bool evacuation_wait_logged = false;  ///< `kEvacuationWaits` was logged for this drain
   TimePoint over_bound_since{};  ///< start of a tail's excess over its bound; the epoch if none
   TimePoint next_sample_at{};    ///< earliest time of the next sample for the interference model
 
-  TargetIncarnation CurrentIncarnation() const { return {this->entry.id, this->incarnation}; }
+  TargetIncarnation CurrentIncarnation() const {
+    return {this->entry.id, this->incarnation, this->entry.address};
+  }
+};
+
+/// A run that a target was lost under. Whether the target has crashed is not known yet.
+struct LostRun {
+  TaskKey task;
+  bool confirmed = false;  ///< the target had confirmed the run
+  bool isolated = false;   ///< see `CrashRecord::isolated`
+};
+
+/// The runs that may have crashed a target whose lease has expired without an answer.
+struct UnprovenCrash {
+  std::uint64_t incarnation = 0;  ///< of the lost target
+  TimePoint lost_at{};            ///< when its lease expired
+  std::vector<LostRun> runs;
 };
 
 /// Context of an order that was sent, kept until its answer arrives.
@@ -216,6 +247,7 @@
   RunNumber run = 0;
   std::uint64_t hold_number = 0;  ///< of a hold: its number among the holds to the target
   std::uint64_t acked_end = 0;    ///< of a hold: see `HoldOrder::acked_end`
+  bool has_deadline = false;      ///< of a start or a hold: it extends the lease
   bool orphaned_run = false;      ///< of a stop: no task of the cell waits for its answer
   enum class Kind { kStart, kStop, kHold, kPace } kind = Kind::kHold;
   std::uint32_t pace = 100;  ///< of a pace order, in percent of full speed
--- a/tests/scheduling/record_codec_test.cc
+++ b/tests/scheduling/record_codec_test.cc
@@ -55,7 +55,7 @@
   step.tasks[1].run = 3;
   step.tasks[1].failures = 1;
   step.tasks[1].checkpoint = "saved";
-  step.tasks[1].incarnation = {TargetId("target"), 77};
+  step.tasks[1].incarnation = {TargetId("target"), 77, "10.1.0.7:80"};
   Submission read;
   read.accepted = Accepted();
   REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
@@ -66,11 +66,27 @@
   REQUIRE(step_read.tasks[1].run == 3);
   REQUIRE(step_read.tasks[1].failures == 1);
   REQUIRE(step_read.tasks[1].checkpoint == "saved");
-  REQUIRE(step_read.tasks[1].incarnation == TargetIncarnation{TargetId("target"), 77});
+  REQUIRE(step_read.tasks[1].incarnation ==
+          TargetIncarnation{TargetId("target"), 77, "10.1.0.7:80"});
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].incarnation.address == "10.1.0.7:80");
   REQUIRE(read.occurrences.at(0).steps[1].waiting == 2);
   REQUIRE(DecodeState(EncodeProgress(submission)) == SubmissionState::kRunning);
 }
 
+TEST_CASE("a progress record contains the crashes under each task", "[record_codec]") {
+  Submission submission;
+  submission.accepted = Accepted();
+  submission.AddOccurrence(0);
+  Task& task = submission.occurrences.at(0).steps[0].tasks[1];
+  task.run = 2;
+  task.crash_record = CrashRecord{1, true, true};
+  Submission read;
+  read.accepted = submission.accepted;
+  REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[1].crash_record == CrashRecord{1, true, true});
+  REQUIRE(read.occurrences.at(0).steps[0].tasks[0].crash_record == CrashRecord{});
+}
+
 TEST_CASE("malformed records are refused and change nothing", "[record_codec]") {
   const std::string bytes = EncodeAccepted(Accepted());
   for (std::size_t length = 0; length < bytes.size(); ++length) {
