Keep a task with an unanswered start while it may reach a next incarnation

Callers would see: TWICE. Cause: when the lease of a silent target expired, its tasks were started elsewhere, also those with a start that had no answer. If the target had restarted behind a cut, the start could still arrive, up to 12 s after its sending, and the next incarnation carried it out: the deadline lies ahead on its clock. Change: such a task stays until no start of it can arrive any more, or until the target answers. Its loss counts once for the blame of crashes. Long-running tasks start elsewhere as before, as they may be without a run for 6 s only. Price: a task whose start to a vanished target had no answer starts elsewhere about 5.5 s later. What remains: a long-running task, and a next incarnation that the owner reaches only 13 s after the start.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -173,8 +173,12 @@
   bool MayStillStart(const Target& target, const TaskKey& key, const Task& task) const;
   /// Requeues the runs of unregistered targets that \a entry has replaced at their address.
   void RequeueRunsOfReplacedTargets(const TargetEntry& entry, TimePoint now);
-  /// Requeues all runs of a target whose runs have ended for certain.
-  void RequeueLostRuns(Target* target, TimePoint now, const char* cause);
+  /// Requeues the runs \a lost of a target, which have ended for certain.
+  void RequeueLostRuns(Target* target, const std::set<TaskKey>& lost, TimePoint now,
+                       const char* cause);
+  /// \returns the runs on a target without a lease that have ended for certain. A run whose start
+  ///   may still be carried out by a next incarnation is not among them, unless it is long-running.
+  std::set<TaskKey> RunsWithoutLease(const Target& target);
   /// Requeues the runs whose lease has expired and removes targets that are gone.
   void ExpireLeases(TimePoint now);
   void SendDueHolds(TimePoint now);
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -15,7 +15,7 @@
                          this->tasks_with_orders.count(key) != 0);
     const bool recent =
         !confirmed || target.clock_at - task.started_at < this->settings.crash.suspicion_time;
-    if (!unsent && recent) {
+    if (!unsent && recent && !task.loss_recorded) {
       runs.push_back(internal::LostRun{key, confirmed, task.crash_record.isolated});
     }
   }
@@ -43,6 +43,14 @@
   if (target->tasks.empty() || target->entry.state == TargetState::kDraining) {
     return;
   }
+  // A task that waits for its late start outlasts the loss and must not count for it again.
+  const bool recorded =
+      std::all_of(target->tasks.begin(), target->tasks.end(), [this](const TaskKey& key) {
+        return this->FindSubmission(key.submission)->FindTask(key)->loss_recorded;
+      });
+  if (recorded) {
+    return;
+  }
   const bool outage = this->LostInOutage(*target, now);
   std::vector<internal::LostRun> runs = this->RecentRuns(*target);
   // One suspected task that ran apart from others explains the crash.
@@ -66,6 +74,9 @@
   }
   this->recent_losses.push_back(TargetLoss{target->failed_holds > 0 ? target->silent_since : now,
                                            target->entry.labels, target->suspect_task.has_value()});
+  for (const TaskKey& key : target->tasks) {
+    this->FindSubmission(key.submission)->FindTask(key)->loss_recorded = !proven;
+  }
   if (outage) {
     return;
   }
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -18,7 +18,7 @@
     return;
   }
   if (reply.status == OrderStatus::kWrongInstance) {
-    this->RequeueLostRuns(target, now, "restarted");
+    this->RequeueLostRuns(target, target->tasks, now, "restarted");
     ForgetClock(target);
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
@@ -193,6 +193,7 @@
     return;
   }
   task->reported = true;
+  task->loss_recorded = false;
   task->run_seen_at = now;
   if (!row.checkpoint.empty()) {
     task->checkpoint = row.checkpoint;
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -53,7 +53,7 @@
     const bool replaced = id != entry.id && other.entry.address == entry.address &&
                           entry.incarnation > other.incarnation && !other.registered;
     if (replaced) {
-      this->RequeueLostRuns(&other, now, "address-reused");
+      this->RequeueLostRuns(&other, other.tasks, now, "address-reused");
     }
   }
 }
@@ -102,6 +102,7 @@
       task->absent_after_hold = target->holds_sent;
     }
     task->reported = false;
+    task->loss_recorded = false;
     this->MarkDirty(key.submission, true);
   }
   this->Log(EventCode::kTargetRestarted, {{"cell", this->cell_id.str()},
@@ -138,8 +139,24 @@
   });
 }
 
-void Cell::RequeueLostRuns(Target* target, TimePoint now, const char* cause) {
-  if (target->tasks.empty()) {
+std::set<TaskKey> Cell::RunsWithoutLease(const Target& target) {
+  std::set<TaskKey> ended;
+  for (const TaskKey& key : target.tasks) {
+    Submission* submission = this->FindSubmission(key.submission);
+    // The target may restart unnoticed, and its next incarnation may carry out a start. The wait
+    // for that is longer than the time for which a long-running task may be without a run.
+    const bool may_begin_again = !submission->Step(key.step).long_running &&
+                                 this->MayStillStart(target, key, *submission->FindTask(key));
+    if (!may_begin_again) {
+      ended.insert(key);
+    }
+  }
+  return ended;
+}
+
+void Cell::RequeueLostRuns(Target* target, const std::set<TaskKey>& lost, TimePoint now,
+                           const char* cause) {
+  if (lost.empty()) {
     return;
   }
   const bool proven = std::string_view(cause) != internal::kLeaseExpired;
@@ -148,9 +165,9 @@
   this->Log(EventCode::kTargetRunsLost, {{"cell", this->cell_id.str()},
                                          {"target", target->entry.id.str()},
                                          {"born", std::to_string(target->incarnation)},
-                                         {"runs", std::to_string(target->tasks.size())},
+                                         {"runs", std::to_string(lost.size())},
                                          {"cause", cause}});
-  for (const TaskKey& key : std::set<TaskKey>(target->tasks)) {
+  for (const TaskKey& key : std::set<TaskKey>(lost)) {
     Submission* submission = this->FindSubmission(key.submission);
     this->Requeue(submission, key, submission->FindTask(key), cause, now);
     this->EndIfFinished(submission);
@@ -161,7 +178,7 @@
   std::vector<TargetId> removable;
   for (auto& [id, target] : this->targets) {
     if (now >= target.lease_expires_at) {
-      this->RequeueLostRuns(&target, now, internal::kLeaseExpired);
+      this->RequeueLostRuns(&target, this->RunsWithoutLease(target), now, internal::kLeaseExpired);
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
         !target.hold_in_flight && now >= target.lease_expires_at) {
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -129,7 +129,7 @@
     this->is_fenced = true;
   }
   if (reply.status == OrderStatus::kWrongInstance) {
-    this->RequeueLostRuns(target, now, "restarted");
+    this->RequeueLostRuns(target, target->tasks, now, "restarted");
     ForgetClock(target);
     return;
   }
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -90,6 +90,8 @@
   bool maybe_started = false;    ///< a start had no reply; the target may still start the run later
   /// Number of a hold. If the reply to a later hold does not list the run, the run is gone.
   std::uint64_t absent_after_hold = 0;
+  /// `Cell::RecordLoss` has accounted for the loss of the run, which may still start later.
+  bool loss_recorded = false;
   bool reported = false;  ///< the current incarnation of the target has reported the run as running
   double percent = 0.0;   ///< see RunningRun::percent
   double metric = 0.0;    ///< see RunningRun::metric
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -40,6 +40,8 @@
     StepSpec step;
     step.need = Resources{1000, 1000, 0};
     step.estimate = this->estimate;
+    step.long_running = this->long_running;
+    step.count = this->tasks;
     accepted.spec.steps = {step};
     this->cell.Accept(accepted, 1, this->now);
   }
@@ -117,6 +119,8 @@
 
   TimePoint now{std::chrono::hours(1)};
   Duration estimate = seconds(1);  ///< of the submitted task
+  bool long_running = false;       ///< the submitted task
+  std::uint32_t tasks = 1;         ///< of the submission
   QueueSettings queue;
   TargetEntry entry;
   Cell cell;
@@ -330,6 +334,73 @@
   REQUIRE(*hold->second.deadline <= TargetTime(900 + 100 + 7500));
 }
 
+TEST_CASE("a task is not started again while its start may reach a next incarnation",
+          "[cell][holds]") {
+  // The target restarts behind a cut. An order may arrive up to 12 s after its sending, and the
+  // next incarnation carries out a start whose deadline has passed on the clock of the earlier one.
+  CellFixture fixture;
+  fixture.estimate = std::chrono::minutes(2);
+  fixture.long_running = GENERATE(false, true);
+  CAPTURE(fixture.long_running);
+  const OrderTicket start = fixture.PlaceTask();
+  const TimePoint sent_at = fixture.now;
+  fixture.cell.OnOrderReply(start, OrderReply{}, fixture.now);
+  fixture.LoseOrdersUntil(sent_at + milliseconds(8200));
+  if (fixture.long_running) {
+    // A long-running task may be without a run for 6 s only.
+    CHECK_FALSE(TaskOf(fixture).HoldsResources());
+    return;
+  }
+  SECTION("the target stays silent") {
+    fixture.LoseOrdersUntil(sent_at + seconds(12));
+    CHECK(TaskOf(fixture).HoldsResources());
+    fixture.LoseOrdersUntil(sent_at + seconds(16));
+    CHECK_FALSE(TaskOf(fixture).HoldsResources());
+  }
+  SECTION("the next incarnation has carried out the start") {
+    std::optional<std::pair<OrderTicket, HoldOrder>> hold;
+    for (int step = 0; step < 100 && !hold; ++step) {
+      fixture.Advance(milliseconds(20));
+      hold = fixture.Take<HoldOrder>();
+    }
+    REQUIRE(hold);
+    HoldReply restarted = fixture.Reply(kIncarnation + 1);
+    restarted.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+    fixture.cell.OnHoldReply(hold->first, restarted, fixture.now);
+    CHECK(TaskOf(fixture).run == 1);
+    CHECK(TaskOf(fixture).HoldsResources());
+  }
+}
+
+TEST_CASE("a crash counts once for a task that outlasts the lease of its target", "[cell][holds]") {
+  CellFixture fixture;
+  fixture.estimate = std::chrono::minutes(2);
+  fixture.tasks = 2;
+  const auto all_tasks = [&fixture] {
+    return fixture.cell.submissions().at(kSubmission).occurrences.at(0).steps[0].tasks;
+  };
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), OrderReply{}, fixture.now);
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  const auto other = fixture.Take<StartOrder>();
+  REQUIRE(other);
+  fixture.cell.OnOrderReply(other->first, done, fixture.now);
+  fixture.Advance(milliseconds(150));
+  const auto second = fixture.Take<StartOrder>();
+  REQUIRE(second);
+  fixture.cell.OnOrderReply(second->first, done, fixture.now);
+  fixture.LoseOrdersUntil(fixture.now + milliseconds(8500));
+  REQUIRE(all_tasks()[0].HoldsResources() != all_tasks()[1].HoldsResources());
+  fixture.cell.RemoveTarget(fixture.entry.id, fixture.now);
+  fixture.entry.id = TargetId("replacement");
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  for (const Task& task : all_tasks()) {
+    CHECK_FALSE(task.HoldsResources());
+    CHECK(task.crash_record.crashes == 1);
+  }
+}
+
 TEST_CASE("a clock reading does not count as older than the answer that it came with",
           "[cell][holds]") {
   // The answer to a long poll arrives while the process is suspended or still in its last tick. The
