Bar starts of an earlier owner in the next incarnation of their target

Callers would see: TWICE. Cause: a new owner starts a task again whose run is not in the first list. The target refuses the former owner's start from then on, but an incarnation that begins within 12 s has seen no token and carries it out. The owner sent no stop, as it knew of no start. Change: such a start counts as one without an answer, so a next incarnation gets a stop for it. Evidence: the new case failed on the code before; it passes now, as do test_scheduling and the emulator's cases but the fuzz (not run) and the known failure "best-effort work is done beside long-running best-effort tasks". What remains: the start may be carried out before the stop arrives; starts of tasks that are done, or whose run was listed, are in no record of the new owner.

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -282,6 +282,13 @@
     if (task->phase != TaskPhase::kStopping && this->MayStillStart(*target, key, *task)) {
       this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
     } else {
+      const bool sent_by_former_owner = task->phase == TaskPhase::kStarting && task->sends == 0 &&
+                                        this->tasks_with_orders.count(key) == 0;
+      if (sent_by_former_owner) {
+        // The target refuses the start from now on, but its next incarnation has seen no token.
+        target->unconfirmed_starts[{key, task->run}] = internal::UnconfirmedStart{
+            this->acquired_at + this->settings.max_order_delay, TimePoint::max()};
+      }
       this->Requeue(submission, key, task, "not-there", now);
       this->EndIfFinished(submission);
     }
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "pistachio/process/scheduling/cell.h"
+#include "pistachio/process/scheduling/record_codec.h"
 
 namespace pistachio {
 namespace {
@@ -401,6 +402,30 @@
   }
 }
 
+TEST_CASE("a start that an earlier owner may have sent is barred in a next incarnation",
+          "[cell][holds]") {
+  // The start has not arrived when the target answers the new owner, and has no deadline that holds
+  // in the next incarnation of the target, which has seen no token.
+  CellFixture former;
+  former.PlaceTask();
+  CellFixture fixture;
+  fixture.cell = Cell(CellId("all"), CellSettings{}, 8, fixture.now);
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  const Submission& submission = former.cell.submissions().at(kSubmission);
+  fixture.cell.Load(submission.accepted, 1, EncodeProgress(submission), fixture.now);
+  fixture.cell.FinishLoading(fixture.now);
+  fixture.Advance(milliseconds(10));
+  fixture.AnswerHold(fixture.Reply());
+  REQUIRE_FALSE(TaskOf(fixture).HoldsResources());
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  fixture.Advance(milliseconds(10));
+  const auto stop = fixture.Take<StopOrder>();
+  REQUIRE(stop);
+  REQUIRE(stop->second.task == kTask);
+  REQUIRE(stop->second.run == 1);
+}
+
 TEST_CASE("a clock reading does not count as older than the answer that it came with",
           "[cell][holds]") {
   // The answer to a long poll arrives while the process is suspended or still in its last tick. The
