Ignore that the address of an earlier incarnation has another target

Callers would see: TWICE. Cause: an answer that another target has the address ended all runs of the target, also if the order was sent to an earlier incarnation and the target had restarted under its id at another address in the meantime, where a start may have been carried out. Change: the answer counts only for the incarnation that the order was sent to.

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -17,7 +17,9 @@
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
   }
-  if (reply.status == OrderStatus::kWrongInstance) {
+  // Only the address of the incarnation that the order was sent to has another target.
+  const bool same_incarnation = sent.incarnation == target->incarnation;
+  if (reply.status == OrderStatus::kWrongInstance && same_incarnation) {
     this->RequeueLostRuns(target, target->tasks, now, "restarted");
     ForgetClock(target);
     target->next_hold_at = now + this->settings.hold_retry_delay;
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -128,14 +128,16 @@
   if (reply.status == OrderStatus::kFenced) {
     this->is_fenced = true;
   }
-  if (reply.status == OrderStatus::kWrongInstance) {
+  // Only the address of the incarnation that the order was sent to has another target.
+  const bool same_incarnation = sent.incarnation == target->incarnation;
+  if (reply.status == OrderStatus::kWrongInstance && same_incarnation) {
     this->RequeueLostRuns(target, target->tasks, now, "restarted");
     ForgetClock(target);
     return;
   }
   this->NoteDeadline(target, sent, reply.status, now);
   target->answered = target->answered || reply.clock;
-  if (sent.incarnation == target->incarnation) {
+  if (same_incarnation) {
     UpdateClock(target, reply.clock, now);
   }
   switch (sent.kind) {
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -426,6 +426,26 @@
   REQUIRE(stop->second.run == 1);
 }
 
+TEST_CASE("an answer from the former address of a target does not end its runs", "[cell][holds]") {
+  // The target has restarted at another address, and another target has taken the former one.
+  CellFixture fixture;
+  const OrderTicket start = fixture.PlaceTask();
+  const auto hold = fixture.Take<HoldOrder>();
+  REQUIRE(hold);
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.entry.address = "target:2";
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  HoldReply reply;
+  reply.status = OrderStatus::kWrongInstance;
+  fixture.cell.OnHoldReply(hold->first, reply, fixture.now);
+  REQUIRE(TaskOf(fixture).HoldsResources());
+  OrderReply start_reply;
+  start_reply.status = OrderStatus::kWrongInstance;
+  fixture.cell.OnOrderReply(start, start_reply, fixture.now);
+  // The start has certainly not been carried out.
+  REQUIRE_FALSE(TaskOf(fixture).HoldsResources());
+}
+
 TEST_CASE("a clock reading does not count as older than the answer that it came with",
           "[cell][holds]") {
   // The answer to a long poll arrives while the process is suspended or still in its last tick. The
