--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -195,6 +195,7 @@
   if (!this->loaded) {
     return;
   }
+  this->DateClockReadings(now);
   this->ExpireLeases(now);
   this->EndPendingSubmissions(now);
   this->AddDueOccurrences();
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -17,8 +17,10 @@
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
   }
-  if (reply.status == OrderStatus::kWrongInstance) {
-    this->RequeueLostRuns(target, now, "restarted");
+  // Only the address of the incarnation that the order was sent to has another target.
+  const bool same_incarnation = sent.incarnation == target->incarnation;
+  if (reply.status == OrderStatus::kWrongInstance && same_incarnation) {
+    this->RequeueLostRuns(target, target->tasks, now, "restarted");
     ForgetClock(target);
     target->next_hold_at = now + this->settings.hold_retry_delay;
     return;
@@ -196,6 +198,7 @@
     return;
   }
   task->reported = true;
+  task->loss_recorded = false;
   task->run_seen_at = now;
   if (!row.checkpoint.empty()) {
     task->checkpoint = row.checkpoint;
@@ -284,6 +287,13 @@
     if (task->phase != TaskPhase::kStopping && this->MayStillStart(*target, key, *task)) {
       this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
     } else {
+      const bool sent_by_former_owner = task->phase == TaskPhase::kStarting && task->sends == 0 &&
+                                        this->tasks_with_orders.count(key) == 0;
+      if (sent_by_former_owner) {
+        // The target refuses the start from now on, but its next incarnation has seen no token.
+        target->unconfirmed_starts[{key, task->run}] = internal::UnconfirmedStart{
+            this->acquired_at + this->settings.max_order_delay, TimePoint::max()};
+      }
       this->Requeue(submission, key, task, "not-there", now);
       this->EndIfFinished(submission);
     }
