Count a submission as waiting until one of its tasks has begun

Cause: the number of waiting submissions left out those of which a task was assigned to a target, whether or not a run ever began. An owner whose host is too slow for its cell assigns tasks again and again while its starts get no answer. At 27.0 s, 39 submissions had waited for 5 s and more by the log, and 34 of them had been assigned. Change: a submission counts until a target has confirmed, listed or ended a run of it. This is stored in the progress record. What an earlier owner assigned is left out until the targets have answered. A host that looks after a cell without an owner counts what was requeued there and has not begun. What remains: in a cell without an owner, an assignment of which the last owner got no answer is left out.

--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -44,7 +44,7 @@
 
 /// \brief Load of a cell as its owner last published it.
 struct LoadRecord {
-  /// Number of uncancelled submissions without an assigned task, by queue.
+  /// Number of uncancelled submissions of which no task has begun, by queue.
   std::map<QueueId, std::uint64_t> pending;
   Duration backlog{0};  ///< estimated wait of batch work; see Cell::Backlog
   /// CPU that long-running tasks request, as a fraction of that of the ready targets; see
@@ -101,8 +101,8 @@
   std::vector<MemberRecord> MembersOf(const std::vector<DataCentreId>& data_centres) const;
   /// \returns the layout of the cells, or nothing if none is stored yet.
   std::optional<CellLayout> Layout() const;
-  /// \returns the number of uncancelled submissions of \a queue without an assigned task, over all
-  ///   cells.
+  /// \returns the number of uncancelled submissions of \a queue of which no task has begun, over
+  ///   all cells.
   std::uint64_t PendingOf(const QueueId& queue) const;
   /// \returns all live hosts.
   std::vector<MemberRecord> Members() const;
--- a/pistachio/process/ownership/unowned_cell.cc
+++ b/pistachio/process/ownership/unowned_cell.cc
@@ -1,6 +1,7 @@
 #include "pistachio/process/ownership/unowned_cell.h"
 
 #include <algorithm>
+#include <set>
 
 #include "pistachio/process/ownership/store_keys.h"
 #include "pistachio/process/runtime/random.h"
@@ -80,7 +81,7 @@
   state.next_read_at = now + this->settings.read_interval;
   state.reading = true;
   state.inbox.clear();
-  state.with_progress.clear();
+  state.progress.clear();
   state.last_load = view.LoadOf(this->cell).value_or(LoadRecord{});
   state.destinations = ReadDestinations(view, this->other_cells);
   this->ReadInboxPage("");
@@ -113,7 +114,7 @@
     }
     for (const StoreItem& item : reply.items) {
       if (const auto id = store_keys::StripPrefix(prefix, item.key)) {
-        state.with_progress.insert(SubmissionId(*id));
+        state.progress[SubmissionId(*id)] = item.value;
       }
     }
     if (reply.truncated && !reply.items.empty()) {
@@ -125,6 +126,17 @@
   });
 }
 
+bool UnownedCell::IsWaiting(const AcceptedSubmission& accepted) const {
+  const auto progress = this->state->progress.find(accepted.id);
+  if (progress == this->state->progress.end()) {
+    return true;
+  }
+  Submission submission;
+  submission.accepted = accepted;
+  return DecodeProgress(progress->second, &submission) && !submission.begun &&
+         !submission.AnyTask([](const Task& task) { return task.HoldsResources(); });
+}
+
 void UnownedCell::OnRead() {
   State& state = *this->state;
   std::set<SubmissionId> cancelled;
@@ -142,14 +154,14 @@
   for (const StoreItem& item : state.inbox) {
     const auto id =
         store_keys::StripPrefix(store_keys::InboxSubmissionsPrefix(this->cell), item.key);
-    const bool waiting = id && state.with_progress.count(SubmissionId(*id)) == 0 &&
-                         cancelled.count(SubmissionId(*id)) == 0;
-    auto accepted = waiting ? DecodeAccepted(item.value) : std::nullopt;
-    if (!accepted) {
+    const bool wanted = id && cancelled.count(SubmissionId(*id)) == 0;
+    auto accepted = wanted ? DecodeAccepted(item.value) : std::nullopt;
+    if (!accepted || !this->IsWaiting(*accepted)) {
       continue;
     }
     load.pending[accepted->queue.id]++;
     const bool may_move = accepted->spec.repeat_count == 0 &&
+                          state.progress.count(accepted->id) == 0 &&
                           accepted->moves < this->settings.move.max_moves &&
                           move.removals.size() < internal::kMaxMovesPerWrite;
     const CellDemand demand = DemandOf(accepted->spec);
@@ -178,6 +190,7 @@
                              {"cause", "no-owner"}}});
   }
   state.inbox.clear();
+  state.progress.clear();
   if (load.pending != state.last_load.pending) {
     Transaction publish;
     publish.preconditions = {no_owner};
--- a/pistachio/process/ownership/unowned_cell.h
+++ b/pistachio/process/ownership/unowned_cell.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include "pistachio/connection/store.h"
@@ -51,8 +51,8 @@
     bool reading = false;
     std::uint64_t generation = 0;  ///< replies to calls of an older generation are ignored
     std::vector<StoreItem> inbox;
-    std::set<SubmissionId> with_progress;
-    LoadRecord last_load;  ///< load record of the last owner
+    std::map<SubmissionId, std::string> progress;  ///< progress records
+    LoadRecord last_load;                          ///< load record of the last owner
     std::vector<MoveDestination> destinations;
     std::vector<EventRecord> events;
   };
@@ -61,6 +61,8 @@
   bool IsResponsible(const ClusterView& view, const Membership& membership) const;
   void ReadInboxPage(const std::string& after_key);
   void ReadProgressPage(const std::string& after_key);
+  /// \returns true if no run of the submission has begun or can be under way.
+  bool IsWaiting(const AcceptedSubmission& accepted) const;
   /// Publishes the number of waiting submissions and moves some of them.
   void OnRead();
   /// Sends a store call. \param on_reply skipped if the generation has changed by then
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -82,6 +82,7 @@
   // new token, show whether the run exists.
   task->phase = TaskPhase::kStarting;
   task->phase_since = now;
+  task->inherited = true;
   task->run_seen_at = TimePoint{};
   Target& target = this->targets[task->incarnation.target];
   if (target.entry.id.empty()) {
@@ -391,7 +392,10 @@
   std::map<QueueId, std::uint64_t> pending;
   for (const SubmissionId& id : this->open_submissions) {
     const Submission& submission = this->all_submissions.at(id);
-    if (!submission.started && !submission.cancelled) {
+    if (submission.cancelled || submission.begun) {
+      continue;
+    }
+    if (!submission.AnyTask([](const Task& task) { return task.inherited; })) {
       pending[submission.accepted.queue.id]++;
     }
   }
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -110,7 +110,8 @@
   /// \returns the state of a submission in the store, `kQueued` if none is written yet, or nothing
   ///   if \a id is unknown.
   std::optional<SubmissionState> DurableState(const SubmissionId& id) const;
-  /// \returns the number of uncancelled submissions of which no task was ever assigned, by queue.
+  /// \returns the number of uncancelled submissions of which no task has begun, by queue. Those
+  ///   that an earlier owner may have begun are left out until the targets have answered.
   std::map<QueueId, std::uint64_t> Pending() const;
   /// \returns the estimated time until the waiting batch work is done: the processor time that it
   ///   needs, divided by the processors that all but serving tasks use now, or by a tenth of the
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -82,6 +82,9 @@
   target->last_seen_end = end.number;
   Submission* submission = this->FindSubmission(end.task.submission);
   Task* task = submission == nullptr ? nullptr : submission->FindTask(end.task);
+  if (task != nullptr) {
+    submission->begun = true;
+  }
   const bool is_current = task != nullptr && task->HoldsResources() && task->run == end.run &&
                           task->incarnation == target->CurrentIncarnation();
   if (!is_current) {
@@ -181,6 +184,9 @@
 void Cell::HandleListedRun(Target* target, const RunningRun& row, TimePoint now) {
   Submission* submission = this->FindSubmission(row.task.submission);
   Task* task = submission == nullptr ? nullptr : submission->FindTask(row.task);
+  if (task != nullptr) {
+    submission->begun = true;
+  }
   const bool is_current =
       task != nullptr && task->run == row.run &&
       task->incarnation == target->CurrentIncarnation() &&
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -171,6 +171,7 @@
   }
   task->order_in_flight = false;
   if (reply.status == OrderStatus::kDone) {
+    submission->begun = true;
     task->phase = TaskPhase::kRunning;
     task->displaced = false;
     task->destination = TargetId();
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -192,6 +192,8 @@
   for (const Json& occurrence : row.at(6)) {
     ReadOccurrence(occurrence, row.at(5), submission);
   }
+  // Records of earlier versions end here.
+  submission->begun = row.size() > 7 ? row.at(7).get<bool>() : submission->started;
 }
 
 }  // namespace internal
@@ -241,7 +243,7 @@
   }
   return ToCborBytes(internal::Json::array(
       {static_cast<int>(submission.State()), submission.cancelled, submission.failed,
-       submission.started, ended, targets.json(), std::move(occurrences)}));
+       submission.started, ended, targets.json(), std::move(occurrences), submission.begun}));
 }
 
 bool DecodeProgress(const std::string& bytes, Submission* submission) {
--- a/pistachio/process/scheduling/submission.cc
+++ b/pistachio/process/scheduling/submission.cc
@@ -51,6 +51,17 @@
   return this->started ? SubmissionState::kRunning : SubmissionState::kQueued;
 }
 
+bool Submission::AnyTask(const std::function<bool(const Task&)>& predicate) const {
+  for (const auto& [number, occurrence] : this->occurrences) {
+    for (const StepProgress& step : occurrence.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(), predicate)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 Task* Submission::FindTask(const TaskKey& key) {
   const auto occurrence = this->occurrences.find(key.occurrence);
   if (occurrence == this->occurrences.end() || key.step >= occurrence->second.steps.size()) {
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -72,6 +73,8 @@
   bool maybe_started = false;    ///< a start had no reply; the target may still start the run later
   /// Number of a hold. If the reply to a later hold does not list the run, the run is gone.
   std::uint64_t absent_after_hold = 0;
+  /// An earlier owner assigned the run, and it is not known yet whether it has begun.
+  bool inherited = false;
   bool reported = false;  ///< the current incarnation of the target has reported the run as running
   double percent = 0.0;   ///< see RunningRun::percent
   double metric = 0.0;    ///< see RunningRun::metric
@@ -108,6 +111,9 @@
   bool cancelled = false;  ///< its caller has cancelled it; runs may still be stopping
   bool failed = false;     ///< a task has used up its attempts; runs may still be stopping
   bool started = false;    ///< a task was assigned to a target at least once
+  /// A run of a task is known to have begun. Stored with the next write of the record, so runs of
+  /// tasks that hold resources may have begun as well.
+  bool begun = false;
   std::optional<WallTime> ended_at;  ///< when it ended, after its last run; empty while it is open
 
   // The fields below are not stored.
@@ -118,6 +124,8 @@
   SubmissionState State() const;
   bool Ended() const { return this->ended_at.has_value(); }
   const StepSpec& Step(std::uint32_t step) const { return this->accepted.spec.steps[step]; }
+  /// \returns true if \a predicate holds for a task.
+  bool AnyTask(const std::function<bool(const Task&)>& predicate) const;
   /// \returns the task with this key, or null if there is none.
   Task* FindTask(const TaskKey& key);
 
--- a/pistachio/request/caller_request.h
+++ b/pistachio/request/caller_request.h
@@ -26,7 +26,8 @@
   SubmissionId id;
 };
 
-/// \brief Request for the number of uncancelled submissions of a queue without an assigned task.
+/// \brief Request for the number of uncancelled submissions of a queue of which no task has
+///   begun.
 struct PendingRequest {
   QueueId queue;
 };
--- a/tests/emulator/moves_test.cc
+++ b/tests/emulator/moves_test.cc
@@ -151,6 +151,48 @@
   cluster.Run(seconds(2));
 }
 
+// A host whose link is full loses its orders for many seconds, while it assigns tasks again and
+// again.
+TEST_CASE("submissions whose starts were all lost are counted as waiting", "[emulator][moves]") {
+  SimulatedCluster cluster({});
+  cluster.Run(seconds(3));
+  for (const std::string& host : cluster.hosts()) {
+    for (const std::string& target : cluster.targets()) {
+      if (target.find("north") == 0) {
+        cluster.order_faults.unreachable_pairs.insert({host, target});
+      }
+    }
+  }
+  std::size_t in_north = 0;
+  const std::vector<SubmissionId> ids = IdsOfOneCell(8);
+  for (const SubmissionId& id : ids) {
+    cluster.Submit("south-host-0", id, LongRunning(), [&in_north](const CallerAnswer& answer) {
+      in_north += answer.reason == "north" ? 1 : 0;
+    });
+  }
+  const auto pending = [&cluster] {
+    std::uint64_t answered = 0;
+    cluster.QueryPending("south-host-1",
+                         [&answered](const CallerAnswer& answer) { answered = answer.pending; });
+    return answered;
+  };
+  cluster.Run(seconds(5));
+  REQUIRE(in_north == ids.size());
+  REQUIRE(cluster.LogLinesContaining("task-assigned").size() >= ids.size());
+  REQUIRE(pending() == ids.size());
+  // The tasks wait again, and then the cell loses its owner.
+  cluster.Run(seconds(15));
+  CutOffNorth(&cluster);
+  cluster.Run(seconds(6));
+  REQUIRE(cluster.OwnerOf("north").empty());
+  REQUIRE(pending() == ids.size());
+  cluster.store_faults = StoreFaults{};
+  cluster.order_faults = OrderFaults{};
+  cluster.Run(seconds(20));
+  REQUIRE(pending() == 0);
+  RequireNoViolations(&cluster);
+}
+
 // Best-effort tasks that never end take all processors that best-effort tasks may use.
 TEST_CASE("best-effort work is done beside long-running best-effort tasks",
           "[emulator][.known-red]") {
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -33,7 +33,7 @@
     this->cell.FinishLoading(this->now);
   }
 
-  void Submit() {
+  AcceptedSubmission Accepted() const {
     AcceptedSubmission accepted;
     accepted.id = kSubmission;
     accepted.queue = this->queue;
@@ -41,7 +41,21 @@
     step.need = Resources{1000, 1000, 0};
     step.estimate = this->estimate;
     accepted.spec.steps = {step};
-    this->cell.Accept(accepted, 1, this->now);
+    return accepted;
+  }
+
+  void Submit() { this->cell.Accept(this->Accepted(), 1, this->now); }
+
+  /// Replaces the cell by that of a new owner, which loads the submission.
+  void ChangeOwner() {
+    this->sent.clear();
+    this->cell = Cell(CellId("all"), CellSettings{}, this->cell.token() + 1, this->now);
+    Configuration configuration;
+    configuration.queues.push_back(this->queue);
+    this->cell.SetConfiguration(std::make_shared<Configuration>(configuration));
+    this->cell.PutTarget(this->entry, this->now);
+    this->cell.Load(this->Accepted(), 1, this->record, this->now);
+    this->cell.FinishLoading(this->now);
   }
 
   /// Advances the time by \a time and runs the cell. The store confirms a commit that is due after
@@ -51,6 +65,9 @@
     this->cell.ConfirmOwnership(this->now);
     this->cell.Tick(this->now, WallTime(0));
     if (const auto batch = this->cell.NextCommit(this->now)) {
+      for (const auto& [id, bytes] : batch->records) {
+        this->record = bytes;
+      }
       this->now += store_time;
       this->cell.ConfirmOwnership(this->now);
       this->cell.OnCommitted(batch->number, this->now);
@@ -107,6 +124,7 @@
   TargetEntry entry;
   Cell cell;
   std::vector<OutgoingOrder> sent;
+  std::optional<std::string> record;  ///< last progress record of the submission in the store
 };
 
 /// Runs the task until its end has been reported. The end is not in the store yet.
@@ -348,5 +366,88 @@
   REQUIRE(TaskOf(fixture).run == 1);
 }
 
+/// \returns the number of submissions of \a fixture that the cell counts as waiting.
+std::uint64_t PendingOf(const CellFixture& fixture) {
+  const auto pending = fixture.cell.Pending();
+  const auto found = pending.find(fixture.queue.id);
+  return found == pending.end() ? 0 : found->second;
+}
+
+TEST_CASE("a submission whose starts get no answer is not counted as begun", "[cell][pending]") {
+  // The owner assigns tasks at once, but its orders may be lost for as long as its link is full.
+  CellFixture fixture;
+  const OrderTicket start = fixture.PlaceTask();
+  REQUIRE(PendingOf(fixture) == 1);
+  OrderReply reply;
+  SECTION("no answer") {
+    fixture.cell.OnOrderReply(start, reply, fixture.now);
+    REQUIRE(PendingOf(fixture) == 1);
+  }
+  SECTION("rejected by the target") {
+    reply.status = OrderStatus::kUnhealthy;
+    fixture.cell.OnOrderReply(start, reply, fixture.now);
+    REQUIRE(PendingOf(fixture) == 1);
+  }
+  SECTION("confirmed") {
+    reply.status = OrderStatus::kDone;
+    fixture.cell.OnOrderReply(start, reply, fixture.now);
+    REQUIRE(PendingOf(fixture) == 0);
+  }
+  SECTION("no answer, but the target lists the run") {
+    fixture.cell.OnOrderReply(start, reply, fixture.now);
+    HoldReply listed = fixture.Reply();
+    listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+    fixture.Advance(milliseconds(10));
+    fixture.AnswerHold(listed);
+    REQUIRE(PendingOf(fixture) == 0);
+  }
+}
+
+TEST_CASE("a submission that never began is counted as waiting after a change of owner",
+          "[cell][pending]") {
+  CellFixture fixture;
+  fixture.PlaceTask();
+  fixture.ChangeOwner();
+  // The run may exist.
+  REQUIRE(PendingOf(fixture) == 0);
+  fixture.Advance(milliseconds(1));
+  SECTION("the target does not list the run") {
+    fixture.AnswerHold(fixture.Reply());
+    for (int second = 0; second < 20 && PendingOf(fixture) == 0; ++second) {
+      fixture.Advance(seconds(1));
+      while (const auto hold = fixture.Take<HoldOrder>()) {
+        fixture.cell.OnHoldReply(hold->first, fixture.Reply(), fixture.now);
+      }
+      while (const auto stop = fixture.Take<StopOrder>()) {
+        OrderReply done;
+        done.status = OrderStatus::kDone;
+        fixture.cell.OnOrderReply(stop->first, done, fixture.now);
+      }
+    }
+    REQUIRE(PendingOf(fixture) == 1);
+  }
+  SECTION("the target lists the run") {
+    HoldReply listed = fixture.Reply();
+    listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+    fixture.AnswerHold(listed);
+    REQUIRE(PendingOf(fixture) == 0);
+  }
+}
+
+TEST_CASE("a submission that has begun is not counted as waiting by a later owner",
+          "[cell][pending]") {
+  CellFixture fixture;
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), done, fixture.now);
+  HoldReply lapsed = fixture.Reply();
+  lapsed.finished.push_back(FinishedRun{1, kTask, 1, RunOutcome::kLeaseExpired, ""});
+  fixture.AnswerHold(lapsed);
+  REQUIRE(PendingOf(fixture) == 0);
+  fixture.Advance(milliseconds(200));
+  fixture.ChangeOwner();
+  REQUIRE(PendingOf(fixture) == 0);
+}
+
 }  // namespace
 }  // namespace pistachio
--- a/tests/scheduling/record_codec_test.cc
+++ b/tests/scheduling/record_codec_test.cc
@@ -134,5 +134,25 @@
   REQUIRE(read->moves == 0);
 }
 
+TEST_CASE("a progress record of the version without begun submissions is read", "[record_codec]") {
+  Submission submission;
+  submission.accepted = Accepted();
+  submission.started = true;
+  Submission read;
+  read.accepted = Accepted();
+  REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
+  REQUIRE_FALSE(read.begun);
+  submission.begun = true;
+  std::string bytes = EncodeProgress(submission);
+  REQUIRE(DecodeProgress(bytes, &read));
+  REQUIRE(read.begun);
+  // The record is an array of eight; without its last byte it has seven elements.
+  bytes.pop_back();
+  bytes[0] = static_cast<char>(bytes[0] - 1);
+  read.begun = false;
+  REQUIRE(DecodeProgress(bytes, &read));
+  REQUIRE(read.begun);
+}
+
 }  // namespace
 }  // namespace pistachio
