Leave an unowned cell to an idle host with much more CPU

Cause: the weak owner released the cell at 13.4 s and a weak host took it, and once more at 15.3 s. Hosts learn of a release up to 400 ms apart, since their watch pauses after a change, but a host waited only 40 ms per rank. The next handover is due 30 s later. Change: a host waits 700 ms longer while one with twice its CPU owns no cell. Price: while the idle strong hosts fail to take a cell, it has no owner for 0.7 s more.

--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -95,8 +95,14 @@
   if (!this->IsInScope(membership.self().data_centre)) {
     return this->RemoteHostMayTake(view);
   }
-  const std::size_t rank = RankOf(membership.self().host, this->Candidates(view), this->cell_id);
-  return state.now - state.unowned_since >= this->settings.takeover_rank_delay * rank;
+  const MemberRecord& self = membership.self();
+  const std::vector<OwnerCandidate> candidates = this->Candidates(view);
+  Duration delay =
+      this->settings.takeover_rank_delay * RankOf(self.host, candidates, this->cell_id);
+  if (HasMuchStrongerIdleHost({self.host, self.cpu_millis, 0}, candidates)) {
+    delay += this->settings.weak_host_takeover_delay;
+  }
+  return state.now - state.unowned_since >= delay;
 }
 
 std::vector<OwnerCandidate> CellOwnership::Candidates(const ClusterView& view) const {
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -22,6 +22,9 @@
   /// Delay per rank before a host of the cell's data centres tries to take an unowned cell, so that
   /// usually only one host tries.
   Duration takeover_rank_delay = std::chrono::milliseconds(40);
+  /// Added to the delay of a host while one with much more CPU owns no cell. Hosts learn of the
+  /// loss of an owner up to `NodeSettings::hosts_watch_pause` apart, and a take is two store calls.
+  Duration weak_host_takeover_delay = std::chrono::milliseconds(700);
   /// Time for which a cell must have no owner, and its data centres no live host, before a host of
   /// another data centre takes it. It is longer than a process restart.
   Duration remote_takeover_delay = std::chrono::milliseconds(3000);
