--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -205,9 +205,10 @@
   for (const Json& occurrence : row.at(6)) {
     ReadOccurrence(occurrence, row.at(5), submission);
   }
-  // Records without suspects, and those of earlier versions, end here.
-  if (row.size() > 7) {
-    for (const Json& suspect : row.at(7)) {
+  // Records of earlier versions end here.
+  submission->begun = row.size() > 7 ? row.at(7).get<bool>() : submission->started;
+  if (row.size() > 8) {
+    for (const Json& suspect : row.at(8)) {
       ReadSuspect(suspect, submission);
     }
   }
@@ -271,7 +272,7 @@
   }
   internal::Json record = internal::Json::array(
       {static_cast<int>(submission.State()), submission.cancelled, submission.failed,
-       submission.started, ended, targets.json(), std::move(occurrences)});
+       submission.started, ended, targets.json(), std::move(occurrences), submission.begun});
   if (!suspects.empty()) {
     record.push_back(std::move(suspects));
   }
