Count one done end as the end of a gang in the rule checker

The emulator's rule checker required an end as done of each member of a gang. By the protocol one such end represents all of them, and the scheduler completes the step with it, so a gang whose other members were stopped meanwhile was reported as LOST and MIXED. No test submitted gangs before. Steps without gangs are checked as before.

--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -38,12 +38,13 @@
 bool RuleChecker::IsStepDone(const SubmissionId& id, std::uint32_t occurrence,
                              std::uint32_t step) const {
   const StepSpec& spec = this->submissions.at(id).spec.steps[step];
+  std::uint32_t done = 0;
   for (std::uint32_t index = 0; index < spec.count; ++index) {
-    if (this->ended_done.count(TaskKey{id, occurrence, step, index}.str()) == 0) {
-      return false;
-    }
+    done += static_cast<std::uint32_t>(
+        this->ended_done.count(TaskKey{id, occurrence, step, index}.str()));
   }
-  return true;
+  // The end of one member of a gang as done represents all of them.
+  return spec.gang ? done > 0 : done == spec.count;
 }
 
 void RuleChecker::OnStateReported(const SubmissionId& id, SubmissionState state) {
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -76,7 +76,7 @@
   };
 
   void AddViolation(const std::string& rule, const std::string& description);
-  /// \returns true if every task of the step has a run that ended as done.
+  /// \returns true if every task of the step, or any of a gang, has a run that ended as done.
   bool IsStepDone(const SubmissionId& id, std::uint32_t occurrence, std::uint32_t step) const;
 
   std::map<SubmissionId, SubmissionRecord> submissions;
