Let targets change their room in the emulator

A target's room may shrink and grow while it runs. The emulator's targets now do so; the registration follows at the next heartbeat (1.1 s) at which the store is up. The rule LIMIT counts a room that has shrunk 4.1 s later, for an order carried out late from the time when it was sent, and counts what is being stopped as before. Watches of a host and prefix can get lost.

--- a/emulator/fake_target.cc
+++ b/emulator/fake_target.cc
@@ -13,6 +13,8 @@
 constexpr double kCheckpointInterval = 1e6;
 /// Longest time that one order can extend the lease by.
 constexpr TargetTime kMaxHoldDuration{10000};
+/// Time after which the rule LIMIT counts a room that has shrunk: 3 s and one heartbeat.
+constexpr Duration kShrunkRoomBound = std::chrono::milliseconds(4100);
 
 }  // namespace internal
 
@@ -63,7 +65,7 @@
 }
 
 OrderReply FakeTarget::Start(const StartOrder& order, const TargetId& expected, FencingToken token,
-                             bool skip_time_bounds, TimePoint now) {
+                             bool skip_time_bounds, TimePoint sent_at, TimePoint now) {
   OrderReply reply;
   reply.clock = this->ClockAt(now);
   if (this->RejectsOrder(expected, token, &reply.status)) {
@@ -104,7 +106,7 @@
     counted.cpu_millis = other.workload.best_effort ? 0 : counted.cpu_millis;
     used += counted;
   }
-  if (!used.FitsIn(this->entry.capacity)) {
+  if (!used.FitsIn(this->LargestRoomSince(sent_at - internal::kShrunkRoomBound))) {
     this->checker->OnCapacityExceeded(this->entry.id.str(), now);
   }
   return reply;
@@ -146,6 +148,23 @@
   return reply;
 }
 
+void FakeTarget::SetRoom(const Resources& room, TimePoint now) {
+  this->former_rooms.push_back({this->entry.capacity, now});
+  this->entry.capacity = room;
+}
+
+Resources FakeTarget::LargestRoomSince(TimePoint since) const {
+  Resources largest = this->entry.capacity;
+  for (const FormerRoom& former : this->former_rooms) {
+    if (former.until > since) {
+      largest.cpu_millis = std::max(largest.cpu_millis, former.room.cpu_millis);
+      largest.memory_mib = std::max(largest.memory_mib, former.room.memory_mib);
+      largest.accelerators = std::max(largest.accelerators, former.room.accelerators);
+    }
+  }
+  return largest;
+}
+
 bool FakeTarget::HasUnacknowledgedEnd(std::uint64_t acked_end) const {
   return !this->finished.empty() && this->finished.back().number > acked_end;
 }
--- a/emulator/fake_target.h
+++ b/emulator/fake_target.h
@@ -48,9 +48,10 @@
   /// \brief Starts a run and extends the lease of all runs to the order's deadline.
   ///
   /// \param skip_time_bounds tells the rule checker not to check rules that have a time bound
+  /// \param sent_at when the order was sent; its host could not know of any later change of room
   /// \returns `kDone` also if the run is running already; otherwise why the target refuses
   OrderReply Start(const StartOrder& order, const TargetId& expected, FencingToken token,
-                   bool skip_time_bounds, TimePoint now);
+                   bool skip_time_bounds, TimePoint sent_at, TimePoint now);
   /// \brief Stops a run after a short time; a run that is not running can no longer start.
   OrderReply Stop(const StopOrder& order, const TargetId& expected, FencingToken token,
                   TimePoint now);
@@ -63,6 +64,8 @@
   /// `kMaxFinishedPerReply`
   HoldReply Hold(const HoldOrder& order, const TargetId& expected, FencingToken token,
                  TimePoint now);
+  /// \brief Changes the target's room, also below what its runs occupy. None of them ends.
+  void SetRoom(const Resources& room, TimePoint now);
   /// \returns true if a run has ended with a number above \a acked_end.
   bool HasUnacknowledgedEnd(std::uint64_t acked_end) const;
 
@@ -91,6 +94,14 @@
     std::optional<TimePoint> stop_at;
   };
 
+  /// A room that the target had before.
+  struct FormerRoom {
+    Resources room;
+    TimePoint until;  ///< when it changed
+  };
+
+  /// \returns of each resource, the most that the target has had at any time since \a since.
+  Resources LargestRoomSince(TimePoint since) const;
   /// \returns the target's own clock: time since the boot, which passes too slowly.
   TargetTime ClockAt(TimePoint now) const;
   /// Checks the target id and the fencing token of an order.
@@ -104,7 +115,8 @@
   RuleChecker* checker;
   TimePoint booted_at{};
   FencingToken highest_token = 0;
-  TargetTime deadline{0};  ///< end of the lease, on the target's own clock
+  TargetTime deadline{0};                ///< end of the lease, on the target's own clock
+  std::vector<FormerRoom> former_rooms;  ///< oldest first
   std::map<TaskKey, Run> running;
   std::map<TaskKey, RunNumber> ended;  ///< highest run that was stopped or has ended here
   std::vector<FinishedRun> finished;   ///< ends that are not acknowledged, oldest first
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -12,6 +12,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(10);
 /// Time after the end of a fault from which rules with a time bound are checked again.
 constexpr Duration kSettleTime = std::chrono::milliseconds(3000);
+/// Interval at which a target writes its registration.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(1100);
 
 }  // namespace internal
 
@@ -136,7 +138,9 @@
     const auto first_pair = this->order_faults.unreachable_pairs.lower_bound({name, ""});
     const bool is_partitioned =
         first_pair != this->order_faults.unreachable_pairs.end() && first_pair->first == name;
-    if (host->frozen || !host->node || is_partitioned ||
+    const auto first_watch = faults.lost_watches.lower_bound({name, ""});
+    const bool loses_watch = first_watch != faults.lost_watches.end() && first_watch->first == name;
+    if (host->frozen || !host->node || is_partitioned || loses_watch ||
         faults.disconnected_hosts.count(name) != 0) {
       host->disturbed_at = this->clock_now;
     }
@@ -341,6 +345,31 @@
   this->store.Write(internal::kTargetPrefix + name, value);
 }
 
+void SimulatedCluster::SetTargetRoom(const std::string& name, const Resources& room) {
+  FakeTarget& target = *this->all_targets.at(name);
+  target.SetRoom(room, this->clock_now);
+  const Duration delay =
+      std::chrono::duration_cast<Duration>(internal::kHeartbeat * this->RandomFraction());
+  this->WriteRegistrationAtHeartbeat(name, target.entry.incarnation, this->clock_now + delay);
+}
+
+void SimulatedCluster::WriteRegistrationAtHeartbeat(const std::string& name,
+                                                    std::uint64_t incarnation, TimePoint at) {
+  this->Schedule(at, [this, name, incarnation] {
+    const FakeTarget& target = *this->all_targets.at(name);
+    const std::string key = internal::kTargetPrefix + target.entry.id.str();
+    if (!target.up || target.entry.incarnation != incarnation ||
+        this->store.items().count(key) == 0) {
+      return;
+    }
+    if (this->store_faults.down || this->store_faults.refuses) {
+      this->WriteRegistrationAtHeartbeat(name, incarnation, this->clock_now + internal::kHeartbeat);
+      return;
+    }
+    this->WriteRegistration(name);
+  });
+}
+
 void SimulatedCluster::CrashTarget(const std::string& name) { this->all_targets.at(name)->Crash(); }
 
 void SimulatedCluster::BootTarget(const std::string& name) {
--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -37,6 +37,8 @@
   double late_write_probability = 0.0;   ///< of a write executed 1 to 6 s later and not answered
   Duration extra_latency{0};             ///< added to each answer
   std::set<std::string> disconnected_hosts;  ///< hosts whose calls are lost
+  /// Hosts and prefixes whose watches are lost.
+  std::set<std::pair<std::string, std::string>> lost_watches;
 };
 
 /// \brief Faults between hosts and targets.
@@ -93,6 +95,9 @@
   /// The target crashes and is deregistered after \a time_left, but not earlier than after 2 s, in
   /// which hosts see the new registration. If the target restarts in between, neither happens.
   void DrainTarget(const std::string& target, std::chrono::milliseconds time_left);
+  /// \brief Changes a target's room. The registration follows at the target's next heartbeat at
+  /// which the store is up.
+  void SetTargetRoom(const std::string& target, const Resources& room);
   FakeTarget& target(const std::string& target);
 
   // Callers. Requests to a host that is down or frozen are lost.
@@ -188,7 +193,7 @@
                 const std::function<void(const HoldReply&)>& callback);
   /// Executes a start, stop or pace order on its target. \pre a target has the order's address
   OrderReply ExecuteOrder(const std::string& host, const Order& order, FencingToken token,
-                          bool late);
+                          bool late, TimePoint sent_at);
   /// Sets the time of the last fault to now for the store and for each host that has a fault. Rules
   /// with a time bound apply only to hosts without recent faults.
   void RecordDisturbances();
@@ -207,6 +212,10 @@
   std::string TargetNameAt(const std::string& address) const;
   /// Writes the target's registration to the store.
   void WriteRegistration(const std::string& target);
+  /// Writes the target's registration at \a at or at the first later heartbeat at which the store
+  /// is up, unless the target has another incarnation or no registration by then.
+  void WriteRegistrationAtHeartbeat(const std::string& target, std::uint64_t incarnation,
+                                    TimePoint at);
   /// Boots a new incarnation of a target and registers it.
   void BootTarget(const std::string& target);
   WallTime WallNow() const;
--- a/emulator/simulated_cluster_calls.cc
+++ b/emulator/simulated_cluster_calls.cc
@@ -29,7 +29,10 @@
     reply.reason = "timeout";
     answer(reply);
   });
-  const bool disconnected = this->store_faults.disconnected_hosts.count(host) != 0;
+  const auto* watch = std::get_if<WatchPrefix>(&call);
+  const bool disconnected =
+      this->store_faults.disconnected_hosts.count(host) != 0 ||
+      (watch != nullptr && this->store_faults.lost_watches.count({host, watch->prefix}) != 0);
   const bool answer_lost =
       write && this->RandomFraction() < this->store_faults.lost_answer_probability;
   const bool late = write && this->RandomFraction() < this->store_faults.late_write_probability;
@@ -121,10 +124,10 @@
 }
 
 OrderReply SimulatedCluster::ExecuteOrder(const std::string& host, const Order& order,
-                                          FencingToken token, bool late) {
+                                          FencingToken token, bool late, TimePoint sent_at) {
   FakeTarget& target = *this->all_targets.at(this->TargetNameAt(order.address));
   if (const auto* start = std::get_if<StartOrder>(&order.order)) {
-    return target.Start(*start, order.target, token, late || !this->IsUndisturbed(host),
+    return target.Start(*start, order.target, token, late || !this->IsUndisturbed(host), sent_at,
                         this->clock_now);
   }
   if (const auto* stop = std::get_if<StopOrder>(&order.order)) {
@@ -152,11 +155,12 @@
         internal::kMinLateDelay +
         std::chrono::duration_cast<Duration>(internal::kLateDelayRange * this->RandomFraction());
   }
-  this->Schedule(this->clock_now + delivery_delay, [this, host, order, token, late, answer] {
+  this->Schedule(this->clock_now + delivery_delay, [this, host, order, token, late, answer,
+                                                    sent_at = this->clock_now] {
     if (!this->CanReach(host, order.address)) {
       return;
     }
-    const OrderReply reply = this->ExecuteOrder(host, order, token, late);
+    const OrderReply reply = this->ExecuteOrder(host, order, token, late, sent_at);
     if (!late) {
       this->Schedule(this->clock_now + this->settings.delay, [answer, reply] { answer(reply); });
     }
