Send no start to a target whose room has shrunk below its tasks

Cause: a start is sent once its assignment is in the store, and was sent again, without a look at the target's room. Where the commit took seconds, the room had shrunk and the registration had been read meanwhile.

Change: before each send, the tasks assigned to the target have to fit into its registered room. Otherwise a task that was not started waits for another target, and one whose start got no answer is stopped. Runs on a target that is over its room go on: no rule asks for a stop, and it would throw their work away. The target gets no start until it is within its room again.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -249,6 +249,9 @@
   /// Sends the starts and stops that are due for the first time or again.
   void SendDueOrders(TimePoint now);
   void SendStart(Submission* submission, const TaskKey& key, Task* task, TimePoint now);
+  /// Gives up a start: requeues a task whose start was not sent, and stops the run of any other.
+  void WithdrawStart(Submission* submission, const TaskKey& key, Task* task, const char* cause,
+                     TimePoint now);
   void SendStop(const TaskKey& key, Task* task, TimePoint now);
   /// Sets a task to `kStopping`; `SendDueOrders` sends the stop.
   void BeginStop(const TaskKey& key, Task* task, StopReason reason, TimePoint now);
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -39,15 +39,15 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
+  if (same_incarnation && !target->load.used.FitsIn(target->load.capacity)) {
+    this->WithdrawStart(submission, key, task, "room-shrunk", now);
+    return;
+  }
   const auto deadline =
       same_incarnation ? this->LeaseForStart(target, task->sends > 0, now) : std::nullopt;
   if (!deadline) {
     // The target has restarted, or the store has not answered for too long to extend a lease.
-    if (task->maybe_started) {
-      this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
-    } else {
-      this->Requeue(submission, key, task, "no-deadline", now);
-    }
+    this->WithdrawStart(submission, key, task, "no-deadline", now);
     return;
   }
   StartOrder start;
@@ -66,6 +66,15 @@
   this->EnqueueOrder(*target, start, this->settings.order_timeout, sent);
 }
 
+void Cell::WithdrawStart(Submission* submission, const TaskKey& key, Task* task, const char* cause,
+                         TimePoint now) {
+  if (task->maybe_started) {
+    this->BeginStop(key, task, StopReason::kUnconfirmedStart, now);
+  } else {
+    this->Requeue(submission, key, task, cause, now);
+  }
+}
+
 void Cell::SendStop(const TaskKey& key, Task* task, TimePoint now) {
   const Target* target = this->FindTarget(task->incarnation.target);
   if (target == nullptr || target->entry.address.empty()) {
--- a/tests/emulator/shrinking_room_test.cc
+++ b/tests/emulator/shrinking_room_test.cc
@@ -107,6 +107,21 @@
   }
 }
 
+TEST_CASE("work whose commit takes seconds is not started beyond a room that shrank meanwhile",
+          "[emulator][shrinking_room]") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    CAPTURE(seed);
+    BusyCell cell(seed);
+    cell.Flood(seconds(1));
+    cell.cluster.store_faults.late_write_probability = 1.0;
+    cell.SetRooms(kNoRoom);
+    cell.Flood(seconds(5));
+    cell.cluster.store_faults.late_write_probability = 0.0;
+    cell.Flood(seconds(4));
+    cell.Finish();
+  }
+}
+
 TEST_CASE("a new owner does not start work beyond a room that shrank before it took the cell",
           "[emulator][shrinking_room]") {
   for (const std::uint64_t seed : {1, 2, 3, 4}) {
@@ -192,6 +207,26 @@
   }
 }
 
+TEST_CASE("best-effort tasks are not started beyond a shrunk memory",
+          "[emulator][shrinking_room]") {
+  for (const std::uint64_t seed : {1, 2}) {
+    CAPTURE(seed);
+    BusyCell cell(seed);
+    StepSpec best_effort = BusyCell::ShortStep();
+    best_effort.best_effort = true;
+    best_effort.need = Resources{1000, 6000, 0};
+    cell.Flood(milliseconds(1000 + 10 * seed), best_effort);
+    if (seed == 2) {
+      cell.cluster.store_faults.down = true;
+    }
+    cell.SetRooms(Resources{16000, 13000, 0});
+    cell.Flood(milliseconds(4500), best_effort);
+    cell.cluster.store_faults.down = false;
+    cell.Flood(seconds(4), best_effort);
+    cell.Finish();
+  }
+}
+
 TEST_CASE("a starved long-running task is not kept waiting for a target that has shrunk below it",
           "[emulator][shrinking_room]") {
   BusyCell cell(1);
