Withdraw all starts of a gang if one of them is withdrawn

Cause: a start that is given up before it is sent, because its target has shrunk or its lease cannot be extended, left the other members of its gang to start. They would wait for the missing one until they end alone.

Change: the other members are withdrawn too, and no member is sent while the target of any member has shrunk below its tasks.

Result: "no member of a gang is started if the target of another one has shrunk" failed before and passes now.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -249,7 +249,10 @@
   /// Sends the starts and stops that are due for the first time or again.
   void SendDueOrders(TimePoint now);
   void SendStart(Submission* submission, const TaskKey& key, Task* task, TimePoint now);
-  /// Gives up a start: requeues a task whose start was not sent, and stops the run of any other.
+  /// \returns true if the task's target, or each target of its gang, has room for all of its tasks.
+  bool FitsOnTargets(const Submission& submission, const TaskKey& key) const;
+  /// Gives up a start, and those of the other members of its gang: requeues a task whose start was
+  /// not sent, and stops the run of any other.
   void WithdrawStart(Submission* submission, const TaskKey& key, Task* task, const char* cause,
                      TimePoint now);
   void SendStop(const TaskKey& key, Task* task, TimePoint now);
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -39,7 +39,7 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
-  if (same_incarnation && !target->load.used.FitsIn(target->load.capacity)) {
+  if (same_incarnation && !this->FitsOnTargets(*submission, key)) {
     this->WithdrawStart(submission, key, task, "room-shrunk", now);
     return;
   }
@@ -73,6 +73,20 @@
   } else {
     this->Requeue(submission, key, task, cause, now);
   }
+  if (submission->Step(key.step).gang) {
+    this->StopGang(submission, key, now);
+  }
+}
+
+bool Cell::FitsOnTargets(const Submission& submission, const TaskKey& key) const {
+  const auto fits = [this](const Task& task) {
+    const auto target = this->targets.find(task.incarnation.target);
+    return target == this->targets.end() || !task.HoldsResources() ||
+           target->second.load.used.FitsIn(target->second.load.capacity);
+  };
+  const std::vector<Task>& tasks = submission.occurrences.at(key.occurrence).steps[key.step].tasks;
+  return submission.Step(key.step).gang ? std::all_of(tasks.begin(), tasks.end(), fits)
+                                        : fits(tasks[key.index]);
 }
 
 void Cell::SendStop(const TaskKey& key, Task* task, TimePoint now) {
--- a/tests/scheduling/withdrawn_start_test.cc
+++ b/tests/scheduling/withdrawn_start_test.cc
@@ -103,5 +103,20 @@
   CHECK(fixture.Phases(TaskPhase::kWaiting) == 1);
 }
 
+TEST_CASE("no member of a gang is started if the target of another one has shrunk",
+          "[cell][withdrawn_start]") {
+  for (const char* shrunk : {"target-0", "target-1"}) {
+    CAPTURE(shrunk);
+    TwoTargets fixture;
+    fixture.Assign(true);
+    fixture.Register(shrunk, Resources{2000, 4000, 0}, TargetState::kReady);
+    fixture.Confirm();
+    CHECK(fixture.starts == 0);
+    fixture.Run(seconds(3));
+    CHECK(fixture.starts == 0);
+    CHECK(fixture.Phases(TaskPhase::kRunning) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace pistachio
