--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -98,7 +98,7 @@
   void CheckFailedReport(const SubmissionId& id, std::uint32_t max_attempts);
   /// Checks the rule BUDGET for a start of a deadly task, and counts the start.
   void CheckCrashBudget(const std::string& task, const std::string& description);
-  /// \returns true if every task of the step has a run that ended as done.
+  /// \returns true if every task of the step, or any of a gang, has a run that ended as done.
   bool IsStepDone(const SubmissionId& id, std::uint32_t occurrence, std::uint32_t step) const;
 
   std::map<SubmissionId, SubmissionRecord> submissions;
