Submit deadly work in the fuzz of the emulator

Cause: the fuzz submitted no tasks that crash their targets. Change: an action that submits work with a deadly task and sets whether crashed targets return under a new id.

--- a/tests/emulator/stateful_fuzz_test.cc
+++ b/tests/emulator/stateful_fuzz_test.cc
@@ -40,6 +40,7 @@
   kCompactStore,
   kPutConfiguration,
   kStallOrSlowTarget,
+  kSubmitDeadly,
   kCount,
 };
 
@@ -67,6 +68,7 @@
       case Action::kResubmit:
       case Action::kCancel:
       case Action::kQueryState:
+      case Action::kSubmitDeadly:
       case Action::kCount:
         this->ExecuteCallerAction(step, host);
         break;
@@ -148,8 +150,12 @@
   void ExecuteCallerAction(const Step& step, const std::string& host) {
     const std::uint32_t earlier_submission =
         this->submitted_count == 0 ? 0 : 1 + step.selector % this->submitted_count;
-    if (step.action == Action::kSubmit || earlier_submission == 0) {
+    if (step.action == Action::kSubmit || step.action == Action::kSubmitDeadly ||
+        earlier_submission == 0) {
       this->submitted_count++;
+      if (step.action == Action::kSubmitDeadly) {
+        this->MakeDeadly(this->submitted_count, step.selector);
+      }
       this->cluster->Submit(host, IdOf(this->submitted_count), SpecOf(this->submitted_count));
     } else if (step.action == Action::kResubmit) {
       this->cluster->Submit(host, IdOf(earlier_submission), SpecOf(earlier_submission));
@@ -160,6 +166,15 @@
     }
   }
 
+  /// Makes a task of the submission's last step deadly, and sets how targets return from now on.
+  void MakeDeadly(std::uint32_t number, std::uint32_t selector) {
+    constexpr milliseconds kLateCrash(300);
+    const auto last_step = static_cast<std::uint32_t>(SpecOf(number).steps.size() - 1);
+    this->cluster->target_return.new_id = selector % 2 == 0;
+    this->cluster->SetDeadly(TaskKey{IdOf(number), 0, last_step, 0},
+                             selector % 3 == 0 ? kLateCrash : milliseconds(10));
+  }
+
   void ExecutePlatformAction(const Step& step, const std::string& host, const std::string& target) {
     switch (step.action) {
       case Action::kCrashTarget:
