Give up no task for the crash of a target that its start may not have reached

Cause: a start of an isolated task without an answer counted as certain. Change: a crash counts as one under the task only if the target had confirmed the run. Without that the loss of an isolated run counts towards a limit of three, since a task that crashes its target at once never lets it answer.

--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -110,8 +110,7 @@
       run.counted = true;
     }
     // A start without an answer may not have arrived before the crash.
-    const bool certain = proven && kind == LossKind::kAlone && (run.confirmed || run.isolated);
-    record.crashes += certain ? 1 : 0;
+    record.crashes += possible && run.confirmed ? 1 : 0;
     this->MarkDirty(run.task.submission, true);
     this->Log(EventCode::kTaskSuspected, {{"task", run.task.str()},
                                           {"run", std::to_string(task->run)},
@@ -119,7 +118,7 @@
                                           {"crashes", std::to_string(record.crashes)},
                                           {"losses", std::to_string(record.losses)},
                                           {"isolated", run.isolated ? "yes" : "no"}});
-    const CrashRecord latest{record.crashes, record.losses, true, certain && run.isolated};
+    const CrashRecord latest{record.crashes, record.losses, true, proven && apart};
     if (IsGivenUp(latest, this->settings.crash) && !submission->cancelled && !submission->failed) {
       submission->failed = true;
       this->counts.tasks_given_up++;
--- a/pistachio/process/scheduling/crash_blame.cc
+++ b/pistachio/process/scheduling/crash_blame.cc
@@ -65,7 +65,8 @@
 
 bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings) {
   return record.losses >= settings.max_losses ||
-         (record.isolated && record.crashes >= settings.max_isolated_crashes);
+         (record.isolated && (record.crashes >= settings.max_isolated_crashes ||
+                              record.losses >= settings.max_isolated_losses));
 }
 
 }  // namespace pistachio
--- a/pistachio/process/scheduling/crash_blame.h
+++ b/pistachio/process/scheduling/crash_blame.h
@@ -21,6 +21,9 @@
   double max_isolated_share = 0.25;
   /// Crashes after which a task is given up if it was isolated during the last one.
   std::uint32_t max_isolated_crashes = 2;
+  /// Losses after which a task is given up if it was isolated during the last one. Some of the
+  /// starts may not have arrived before the crash.
+  std::uint32_t max_isolated_losses = 3;
   /// Losses after which a task is given up in any case.
   std::uint32_t max_losses = 4;
   /// Targets whose last answers were lost within this time of each other count as lost together.
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -53,8 +53,7 @@
 
 /// \brief What is known of a task whose runs may crash their targets.
 struct CrashRecord {
-  /// Number of targets that are known to have crashed alone, shortly after a run of the task had
-  /// started.
+  /// Number of targets that are known to have crashed shortly after they had confirmed a run.
   std::uint32_t crashes = 0;
   /// Number of targets that are known to have crashed when a run of the task may just have started,
   /// those of `crashes` included.
