Send no start while the registrations may be outdated

Cause: after a store outage, or while the watch over targets is not answered, the owner sends starts by registrations that targets may have changed seconds ago. A target reports its room once a second, so after an outage a room that shrank meanwhile is read only after the first commits are confirmed. A process that was suspended sends starts again by what it knew before.

Change: starts wait while the copy of the registrations is older than 2.8 s, and for 2 s after a time of 1.6 s or more without an answer of the store. The platform's documentation gives 2 s for targets to be registered again. A start that waited is withdrawn if its target has left or drains by then. After a failed call a watch is answered at once, so that the copy counts as confirmed sooner. After an outage of the store, starts therefore come up to about 2 s later than before.

--- a/pistachio/connection/store/prefix_mirror.cc
+++ b/pistachio/connection/store/prefix_mirror.cc
@@ -42,7 +42,9 @@
   if (current.reading) {
     call = ReadRange{this->settings.prefix, current.last_key};
   } else {
-    call = WatchPrefix{this->settings.prefix, current.revision, this->settings.watch_wait};
+    // After a failed call, the copy is to be confirmed soon, also if nothing has changed.
+    const auto wait = current.failed ? std::chrono::milliseconds(1) : this->settings.watch_wait;
+    call = WatchPrefix{this->settings.prefix, current.revision, wait};
     timeout = this->settings.watch_wait + this->settings.answer_slack;
   }
   if (current.cut_off) {
@@ -64,6 +66,7 @@
     current.confirmed_at = current.cut_off ? current.sent_at : current.now;
   }
   current.cut_off = reply.cut_off;
+  current.failed = reply.status != StoreStatus::kOk && reply.status != StoreStatus::kMissing;
   if (reply.status == StoreStatus::kOk && current.reading) {
     this->OnPage(reply);
   } else if (reply.status == StoreStatus::kOk) {
--- a/pistachio/connection/store/prefix_mirror.h
+++ b/pistachio/connection/store/prefix_mirror.h
@@ -83,6 +83,7 @@
     bool reading = true;       ///< a full read is under way, else the mirror watches
     bool in_flight = false;    ///< a call has no reply yet
     bool running = false;      ///< between Start() and Stop()
+    bool failed = false;       ///< the last call failed for another reason than lost history
     bool cut_off = false;      ///< a part of the last call's answer arrived before it failed
     TimePoint now{};           ///< time of the last Tick()
     TimePoint next_call{};     ///< earliest time of the next call
--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -93,6 +93,7 @@
 
 void Node::Start(TimePoint start_time) {
   this->now = start_time;
+  this->monitor.Start(start_time);
   this->last_listed_at = start_time;
   this->configurations->Start(start_time);
   this->hosts->Start(start_time);
@@ -108,7 +109,9 @@
   this->targets->Tick(tick_now);
   this->membership->Tick(tick_now);
   this->CreateOwnerships();
+  const bool registrations_current = this->RegistrationsCurrent();
   for (auto& [id, ownership] : this->ownership_by_cell) {
+    ownership.SetRegistrationsCurrent(registrations_current);
     ownership.Tick(tick_now, wall_now, *this->cluster_view, *this->membership);
   }
   for (UnownedCell& cell : this->unowned_cells) {
@@ -386,6 +389,16 @@
   }
 }
 
+bool Node::RegistrationsCurrent() const {
+  const TimePoint confirmed_at = this->targets->confirmed_at();
+  const TimePoint answered_since = this->monitor.answered_since();
+  // The first answer after a pause of this process may have arrived before the pause ended, so it
+  // takes a later one.
+  return confirmed_at > answered_since &&
+         this->now - confirmed_at < this->settings.max_registration_age &&
+         this->now - answered_since >= this->settings.registration_settle_time;
+}
+
 CellRoom Node::RoomOf(const CellId& cell) const {
   const auto load = this->cluster_view->LoadOf(cell);
   return load ? load->Room() : CellRoom();
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -66,6 +66,12 @@
   /// Pause of the watch over targets on hosts that own no cell. Such a host uses the targets only
   /// to choose a cell for new submissions.
   Duration idle_targets_watch_pause = std::chrono::milliseconds(1500);
+  /// Time after a store outage at which all targets have registered again. The platform's
+  /// documentation gives about 2 s.
+  Duration registration_settle_time = std::chrono::milliseconds(2000);
+  /// Age up to which the copy of the registrations is recent enough for starts. A room that has
+  /// shrunk binds 3 s after the target's next registration.
+  Duration max_registration_age = std::chrono::milliseconds(2800);
   /// Time for which the set of targets has to stay unchanged before a host proposes a cell layout
   /// for it. Each host waits one `layout_rank_step` more for every member whose name sorts before
   /// its own, so that usually only one host proposes.
@@ -159,6 +165,10 @@
     std::uint64_t load_revision = 0;  ///< revision of that record
     std::vector<CellDemand> demands;
   };
+  /// Returns true unless targets may have changed their registrations some time ago without this
+  /// host having read it, because the store or the watch over targets does not answer or did not
+  /// until recently.
+  bool RegistrationsCurrent() const;
   /// Returns the load of a cell from its last record, without what was sent to it since.
   CellRoom RoomOf(const CellId& cell) const;
   /// Adds to \a room what this host has sent to the cell since the cell's last load record.
--- a/pistachio/process/node/store_monitor.cc
+++ b/pistachio/process/node/store_monitor.cc
@@ -30,6 +30,10 @@
           {EventCode::kStoreReachable,
            {{"away-ms", std::to_string((now - this->failing_since).count() / 1000)}}});
     }
+    if (now - this->last_answer_at > this->settings.outage_threshold) {
+      this->first_answer_at = now;
+    }
+    this->last_answer_at = now;
     this->consecutive_failures = 0;
     this->unreachable = false;
     return;
--- a/pistachio/process/node/store_monitor.h
+++ b/pistachio/process/node/store_monitor.h
@@ -18,6 +18,9 @@
   /// Time since the first of the consecutive failures after which the next failure makes the store
   /// count as unreachable; longer than a slow answer takes.
   Duration silence_threshold = std::chrono::milliseconds(600);
+  /// Time without an answer after which the store may have been down for all its clients. While the
+  /// store is up, the host's watches are answered at shorter intervals.
+  Duration outage_threshold = std::chrono::milliseconds(1600);
 };
 
 /// \brief Tracks whether this host can reach the store, from the outcomes of all store calls.
@@ -28,6 +31,9 @@
  public:
   explicit StoreMonitor(const StoreMonitorSettings& settings) : settings(settings) {}
 
+  /// \brief Begins to measure the time without an answer. \param now start of the process
+  void Start(TimePoint now) { this->last_answer_at = now; }
+
   /// \brief Counts a call about to be sent.
   void OnCall(const StoreCall& call);
 
@@ -41,6 +47,9 @@
   Duration UnreachableFor(TimePoint now) const {
     return this->unreachable ? now - this->failing_since : Duration(0);
   }
+  /// \returns the time of the first answer since the store may last have been down; the epoch if it
+  ///   was up since Start().
+  TimePoint answered_since() const { return this->first_answer_at; }
   /// \returns the number of calls since the start of the process, by kind (`read`, `watch`, ...).
   const std::map<std::string, std::uint64_t>& calls() const { return this->calls_by_kind; }
   /// \brief Removes and returns the events recorded since the last call.
@@ -50,6 +59,8 @@
   StoreMonitorSettings settings;
   std::uint32_t consecutive_failures = 0;  ///< failed calls since the last answered one
   std::map<std::string, std::uint64_t> calls_by_kind;
+  TimePoint first_answer_at{};  ///< see answered_since()
+  TimePoint last_answer_at{};
   TimePoint failing_since{};  ///< time of the first of the consecutive failures
   bool unreachable = false;
   std::vector<EventRecord> events;
--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -429,6 +429,12 @@
   }
 }
 
+void CellOwnership::SetRegistrationsCurrent(bool current) {
+  if (Cell* cell = this->cell()) {
+    cell->SetRegistrationsCurrent(current);
+  }
+}
+
 void CellOwnership::RemoveTarget(const TargetId& target) {
   const auto found = this->targets.find(target);
   if (found != this->targets.end()) {
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -84,6 +84,8 @@
   void SetConfiguration(std::shared_ptr<const Configuration> configuration);
   /// \brief Adds or updates a registered target of the cell.
   void PutTarget(const TargetEntry& entry);
+  /// \brief Passes on whether the registrations are recent enough for starts, see Cell.
+  void SetRegistrationsCurrent(bool current);
   /// \brief Removes a target whose registration is gone. Its address is kept for loading.
   void RemoveTarget(const TargetId& target);
 
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -33,6 +33,9 @@
   void PutTarget(const TargetEntry& entry, TimePoint now);
   /// \brief Marks a target as no longer registered. Its runs keep their resources.
   void RemoveTarget(const TargetId& target, TimePoint now);
+  /// \brief Sets whether the registrations are recent enough for starts; initially they are. While
+  /// they are not, starts wait, because the room of their targets may have shrunk.
+  void SetRegistrationsCurrent(bool current) { this->registrations_current = current; }
 
   /// \brief Loads a submission with its stored progress, if any. Called before `FinishLoading`.
   ///
@@ -402,6 +405,8 @@
   bool is_fenced = false;      ///< see `fenced`
   bool schedule_due = false;   ///< something changed since the last scheduling round
   bool commit_urgent = false;  ///< a caller or a start waits for the next commit
+  /// See `SetRegistrationsCurrent`.
+  bool registrations_current = true;
 };
 
 }  // namespace pistachio
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -39,6 +39,17 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
+  if (same_incarnation && !this->registrations_current) {
+    task->retry_at = now + this->settings.order_retry_delay;
+    return;
+  }
+  // Starts may have waited for a commit or for current registrations.
+  const bool left = same_incarnation && task->sends == 0 &&
+                    (!target->registered || target->entry.state == TargetState::kDraining);
+  if (left) {
+    this->WithdrawStart(submission, key, task, "target-left", now);
+    return;
+  }
   if (same_incarnation && !this->FitsOnTargets(*submission, key)) {
     this->WithdrawStart(submission, key, task, "room-shrunk", now);
     return;
--- a/tests/scheduling/withdrawn_start_test.cc
+++ b/tests/scheduling/withdrawn_start_test.cc
@@ -118,5 +118,20 @@
   }
 }
 
+TEST_CASE("a start waits until the registrations are current again", "[cell][withdrawn_start]") {
+  TwoTargets fixture;
+  fixture.Assign(false);
+  fixture.cell.SetRegistrationsCurrent(false);
+  fixture.Confirm();
+  fixture.Run(seconds(2));
+  REQUIRE(fixture.starts == 0);
+  // The start of a task whose target drains by then would come too late.
+  fixture.Register("target-1", kRoom, TargetState::kDraining);
+  fixture.cell.SetRegistrationsCurrent(true);
+  fixture.Run(milliseconds(200));
+  CHECK(fixture.starts == 1);
+  CHECK(fixture.Phases(TaskPhase::kWaiting) == 1);
+}
+
 }  // namespace
 }  // namespace pistachio
