Read no room with negative or absurd amounts from a registration

Cause: a negative amount, one beyond any machine, or a `gpu` of another type in a registration's room was read as it was, or as 0. Sums over the targets of a cell, such as the share of long-running tasks and the total in the log, would be wrong or overflow.

A room of zeros is read and gets no task; fractions are rounded down.

--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -82,6 +82,29 @@
   REQUIRE_FALSE(DecodeTarget("servers/i-1", changed("[\"a\",\"r1-3\"]", "[1]")));
 }
 
+TEST_CASE("a target's registration whose room is empty, missing or malformed offers no resources",
+          "[platform]") {
+  const std::string text = kTargetText;
+  const std::string room = R"({"cpu":16000,"memMb":32768,"gpu":0})";
+  const auto with_room = [&text, &room](const std::string& other) {
+    std::string changed = text;
+    return DecodeTarget("servers/i-1", changed.replace(changed.find(room), room.size(), other));
+  };
+  const auto empty = with_room(R"({"cpu":0,"memMb":0,"gpu":0})");
+  REQUIRE(empty);
+  REQUIRE(empty->capacity == Resources{});
+  const auto fraction = with_room(R"({"cpu":1999.9,"memMb":10.5})");
+  REQUIRE(fraction);
+  REQUIRE(fraction->capacity == Resources{1999, 10, 0});
+  for (const char* malformed :
+       {"null", "7", "[]", "{}", R"({"cpu":1})", R"({"cpu":"1","memMb":1})",
+        R"({"cpu":-1,"memMb":1})", R"({"cpu":1,"memMb":-1})", R"({"cpu":1,"memMb":1,"gpu":-1})",
+        R"({"cpu":1,"memMb":1,"gpu":"1"})", R"({"cpu":1e300,"memMb":1})"}) {
+    INFO(malformed);
+    CHECK_FALSE(with_room(malformed));
+  }
+}
+
 TEST_CASE("a submission with no steps or an invalid number in a step is refused", "[platform]") {
   const auto good = DecodeSubmission(
       R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900},
