--- a/pistachio/connection/store/prefix_mirror.cc
+++ b/pistachio/connection/store/prefix_mirror.cc
@@ -43,7 +43,9 @@
   if (current.reading) {
     call = ReadRange{this->settings.prefix, current.last_key};
   } else {
-    call = WatchPrefix{this->settings.prefix, current.revision, this->settings.watch_wait};
+    // After a failed call, the copy is to be confirmed soon, also if nothing has changed.
+    current.wait = current.failed ? std::chrono::milliseconds(1) : this->settings.watch_wait;
+    call = WatchPrefix{this->settings.prefix, current.revision, current.wait};
     timeout = this->settings.watch_wait + this->settings.answer_slack;
   }
   if (current.cut_off) {
@@ -65,6 +67,7 @@
     current.confirmed_at = current.cut_off ? current.sent_at : current.now;
   }
   current.cut_off = reply.cut_off;
+  current.failed = reply.status != StoreStatus::kOk && reply.status != StoreStatus::kMissing;
   if (reply.status == StoreStatus::kOk && current.reading) {
     this->OnPage(reply);
   } else if (reply.status == StoreStatus::kOk) {
@@ -131,7 +134,7 @@
   State& current = *this->state;
   const std::uint64_t generation = current.generation;
   // Without changes, the store has answered after the whole wait.
-  const Duration waited = reply.items.empty() ? Duration(this->settings.watch_wait) : Duration(0);
+  const Duration waited = reply.items.empty() ? Duration(current.wait) : Duration(0);
   current.valid_at = std::min(current.now, current.sent_at + waited);
   current.revision = std::max(current.revision, reply.revision);
   for (const StoreItem& event : reply.items) {
--- a/pistachio/connection/store/prefix_mirror.h
+++ b/pistachio/connection/store/prefix_mirror.h
@@ -85,10 +85,12 @@
     std::uint64_t first_page_revision = 0;  ///< store revision of the first page
     /// Rises with each Start() and Stop(). Replies to calls of earlier generations are ignored.
     std::uint64_t generation = 0;
-    bool loaded = false;             ///< a full read has finished
-    bool reading = true;             ///< a full read is under way, else the mirror watches
-    bool in_flight = false;          ///< a call has no reply yet
-    bool running = false;            ///< between Start() and Stop()
+    bool loaded = false;     ///< a full read has finished
+    bool reading = true;     ///< a full read is under way, else the mirror watches
+    bool in_flight = false;  ///< a call has no reply yet
+    bool running = false;    ///< between Start() and Stop()
+    bool failed = false;     ///< the last call failed for another reason than lost history
+    std::chrono::milliseconds wait{0};  ///< of the last watch
     bool cut_off = false;            ///< a part of the last call's answer arrived before it failed
     TimePoint now{};                 ///< time of the last Tick()
     TimePoint next_call{};           ///< earliest time of the next call
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -218,6 +218,12 @@
   fixture.mirror->Tick(start + milliseconds(3900));
   fixture.store.Answer(OkReply({}, 12));
   REQUIRE(fixture.mirror->valid_at() == start + milliseconds(3900));
+  // After a failed call, a watch without changes is answered at once.
+  fixture.store.Answer(StatusReply(StoreStatus::kRefused));
+  fixture.mirror->Tick(start + milliseconds(6000));
+  fixture.mirror->Tick(start + milliseconds(6800));
+  fixture.store.Answer(OkReply({}, 12));
+  REQUIRE(fixture.mirror->valid_at() == start + milliseconds(6001));
 }
 
 TEST_CASE("replies to calls sent before a stop are ignored", "[store]") {
