Start no run of a task while another one that no record places is alive

Callers would see: TWICE. Cause: a run that a list shows and no record places, such as one that a next incarnation began from a late start, is stopped, which takes up to a second. Its task could start elsewhere meanwhile. Also, a start that was sent again without an answer put off the stop that bars an earlier send of it in the next incarnation. Change: a task with such a run waits until a list no longer shows it or its lease has expired. The bar of the earlier send stays due.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -275,6 +275,10 @@
   /// them.
   void HandleMissingRuns(Target* target, std::uint64_t hold_number,
                          const std::set<TaskKey>& reported_runs, TimePoint now);
+  /// \returns true if a target has reported a run of the task that no task accounts for and that
+  /// has
+  ///   not ended yet. No other run of the task may start meanwhile.
+  bool HasOrphanedRun(const TaskKey& key) const;
   /// Stops a reported run that no task of the cell accounts for.
   void StopOrphanedRun(Target* target, const RunningRun& row, TimePoint now);
   /// Records the progress of a reported run, and moves a run that stalls or is too slow.
@@ -426,8 +430,9 @@
   std::deque<SubmissionId> dirty;    ///< submissions with changes that are in no commit yet
   std::set<SubmissionId> dirty_set;  ///< the elements of `dirty`
   std::vector<std::pair<TaskKey, RunNumber>> uncommitted_assignments;  ///< in no commit yet
-  std::set<TaskKey> tasks_with_orders;                 ///< tasks that are being started or stopped
-  std::optional<internal::PendingCommit> open_commit;  ///< not confirmed by the store yet
+  std::set<TaskKey> orphaned_tasks;     ///< with an orphaned run in this scheduling round
+  std::set<TaskKey> tasks_with_orders;  ///< tasks that are being started or stopped
+  std::optional<internal::PendingCommit> open_commit;      ///< not confirmed by the store yet
   std::map<OrderTicket, internal::SentOrder> sent_orders;  ///< not answered yet
   std::vector<OutgoingOrder> orders;                       ///< for the next `TakeOrders`
   std::vector<EventRecord> events;                         ///< for the next `TakeEvents`
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -312,6 +312,12 @@
   }
 }
 
+bool Cell::HasOrphanedRun(const TaskKey& key) const {
+  return std::any_of(this->targets.begin(), this->targets.end(), [&key](const auto& entry) {
+    return entry.second.orphaned_runs.count(key) != 0;
+  });
+}
+
 void Cell::StopOrphanedRun(Target* target, const RunningRun& row, TimePoint now) {
   TimePoint& next_stop_at = target->orphaned_runs[row.task];
   if (now < next_stop_at) {
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -95,6 +95,12 @@
   }
   this->KeepDestinations(now);
   this->ReleaseKeptTargets(now);
+  this->orphaned_tasks.clear();
+  for (const auto& [id, target] : this->targets) {
+    for (const auto& [key, next_stop_at] : target.orphaned_runs) {
+      this->orphaned_tasks.insert(key);
+    }
+  }
   const std::vector<PendingStep> pending_steps = this->CollectPendingSteps(now);
   for (const PendingStep& pending : pending_steps) {
     if (pending.sort_key.starved) {
@@ -179,6 +185,9 @@
         continue;
       }
       const TaskKey key{pending.submission->accepted.id, pending.occurrence, pending.step, index};
+      if (this->orphaned_tasks.count(key) != 0) {
+        continue;
+      }
       this->ReleaseReservation(*pending.submission, key, task);
       Target* target = this->ChooseTarget(*pending.submission, key, task, now);
       if (target == nullptr && this->WaitsForQuietTarget(task, now)) {
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -179,6 +179,7 @@
   for (auto& [id, target] : this->targets) {
     if (now >= target.lease_expires_at) {
       this->RequeueLostRuns(&target, this->RunsWithoutLease(target), now, internal::kLeaseExpired);
+      target.orphaned_runs.clear();
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
         !target.hold_in_flight && now >= target.lease_expires_at) {
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -41,7 +41,9 @@
   Target* target = this->FindTarget(task->incarnation.target);
   const bool same_incarnation =
       target != nullptr && target->CurrentIncarnation() == task->incarnation;
-  if (same_incarnation && !this->registrations_current) {
+  const bool must_wait =
+      !this->registrations_current || (task->sends == 0 && this->HasOrphanedRun(key));
+  if (same_incarnation && must_wait) {
     task->retry_at = now + this->settings.order_retry_delay;
     return;
   }
@@ -203,8 +205,14 @@
   Target* target = this->FindTarget(sent.target);
   if (reply.status == OrderStatus::kNoAnswer) {
     const bool earlier_incarnation = sent.incarnation != target->incarnation;
-    target->unconfirmed_starts[{sent.task, sent.run}] = internal::UnconfirmedStart{
-        now + this->settings.max_order_delay, earlier_incarnation ? now : TimePoint::max()};
+    // An earlier send that is still to be cancelled stays so.
+    internal::UnconfirmedStart& start =
+        target->unconfirmed_starts
+            .emplace(std::make_pair(sent.task, sent.run),
+                     internal::UnconfirmedStart{TimePoint{}, TimePoint::max()})
+            .first->second;
+    start.valid_until = now + this->settings.max_order_delay;
+    start.cancel_at = earlier_incarnation ? std::min(start.cancel_at, now) : start.cancel_at;
   }
   const bool is_current = task != nullptr && task->run == sent.run &&
                           task->phase == TaskPhase::kStarting &&
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -490,6 +490,35 @@
   CHECK(TaskOf(fixture).HoldsResources());
 }
 
+TEST_CASE("a task does not start while a run of it that no record places is still alive",
+          "[cell][holds]") {
+  // For example, a next incarnation has carried out a start of the run before.
+  CellFixture fixture;
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), done, fixture.now);
+  HoldReply listed = fixture.Reply();
+  listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.AnswerHold(listed);
+  fixture.Advance(milliseconds(10));
+  listed.incarnation = kIncarnation + 1;
+  fixture.AnswerHold(listed);
+  REQUIRE(TaskOf(fixture).phase == TaskPhase::kWaiting);
+  for (int tick = 0; tick < 60; ++tick) {
+    fixture.Advance(milliseconds(20));
+    REQUIRE_FALSE(fixture.Take<StartOrder>());
+  }
+  const auto stop = fixture.Take<StopOrder>();
+  REQUIRE(stop);
+  fixture.cell.OnOrderReply(stop->first, done, fixture.now);
+  fixture.AnswerHold(fixture.Reply(kIncarnation + 1));
+  fixture.Advance(milliseconds(200));
+  fixture.Advance(milliseconds(200));
+  const auto start = fixture.Take<StartOrder>();
+  REQUIRE(start);
+  REQUIRE(start->second.run == 2);
+}
+
 TEST_CASE("an assignment to a target without a lease waits for its commit", "[cell][holds]") {
   // In a store outage no lease is extended, and the commit of an assignment has no answer.
   CellFixture fixture;
