Report the age of the records behind a count of waiting submissions

Cause: callers were told a number of waiting submissions that was too low, and no log line gave the age of the load records that it is summed from, nor how many submissions their owners leave out because a run of an earlier owner may have begun. Change: RevisionClock maps store revisions to times of this process, from the replies that a host receives. Each count is logged as pending-counted with the number of cells without a record, the cell with the oldest one and its age, and cell-load has the waiting and the unconfirmed submissions. Answers do not change. The cost of the line was not measured.

--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -64,10 +64,12 @@
   this->monitored_store = [this](const StoreCall& call, Duration timeout,
                                  const StoreCallback& callback) {
     this->monitor.OnCall(call);
-    this->ports.store(call, timeout, [this, callback](const StoreReply& reply) {
-      this->monitor.OnReply(reply, this->now);
-      callback(reply);
-    });
+    this->ports.store(call, timeout,
+                      [this, call, callback, sent_at = this->now](const StoreReply& reply) {
+                        this->monitor.OnReply(reply, this->now);
+                        this->revision_clock.OnReply(call, reply, sent_at, this->now);
+                        callback(reply);
+                      });
   };
   this->membership = std::make_unique<Membership>(
       MemberRecord{host.host, host.data_centre, incarnation, host.cpu_millis}, settings.membership,
@@ -100,6 +102,7 @@
     return ownership == this->ownership_by_cell.end() ? nullptr : ownership->second.cell();
   };
   callbacks.candidates = [this](const SubmitRequest& request) { return this->Candidates(request); };
+  callbacks.count_pending = [this](const QueueId& queue) { return this->CountPendingOf(queue); };
   callbacks.on_accepted = [this](const CellId& cell, const AcceptedSubmission& accepted) {
     this->OnAccepted(cell, accepted);
   };
@@ -476,6 +479,14 @@
   sent.demands.push_back(demand);
 }
 
+PendingCount Node::CountPendingOf(const QueueId& queue) const {
+  std::vector<CellId> cells;
+  for (const auto& row : this->ownership_by_cell) {
+    cells.push_back(row.first);
+  }
+  return CountPending(*this->cluster_view, cells, queue, this->revision_clock);
+}
+
 CellShape Node::ShapeOf(const CellId& cell) const {
   CellShape shape;
   for (const auto& [id, entry] : this->known_targets) {
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -210,6 +210,8 @@
   void AddSent(const CellId& cell, CellRoom* room) const;
   /// \returns the registered targets of the cell that are ready and not under evacuation.
   CellShape ShapeOf(const CellId& cell) const;
+  /// Returns the number of waiting submissions of a queue over all cells.
+  PendingCount CountPendingOf(const QueueId& queue) const;
   void OnAccepted(const CellId& cell, const AcceptedSubmission& accepted);
   /// Returns the cells that a new submission may go to, with what the choice depends on.
   std::vector<CellCandidate> Candidates(const SubmitRequest& request) const;
@@ -222,6 +224,7 @@
   NodePorts ports;
   StorePort monitored_store;  ///< `ports.store` with every call reported to `monitor`
   StoreMonitor monitor;
+  RevisionClock revision_clock;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<PrefixMirror> hosts;            ///< members, cell owners, loads and the layout
   std::unique_ptr<PrefixMirror> targets;          ///< registrations of targets
--- a/pistachio/process/ownership/cluster_view.cc
+++ b/pistachio/process/ownership/cluster_view.cc
@@ -283,20 +283,6 @@
   return members;
 }
 
-std::uint64_t ClusterView::PendingOf(const QueueId& queue) const {
-  std::uint64_t pending = 0;
-  const auto& items = this->mirror.get().items();
-  const std::string prefix = store_keys::kLoadsPrefix;
-  for (auto item = items.lower_bound(prefix);
-       item != items.end() && store_keys::StripPrefix(prefix, item->first); ++item) {
-    const auto load = DecodeLoad(item->second.value);
-    if (load && load->pending.count(queue) != 0) {
-      pending += load->pending.at(queue);
-    }
-  }
-  return pending;
-}
-
 std::size_t ClusterView::OwnedCellCount(const HostId& host) const {
   std::size_t cells = 0;
   const auto& items = this->mirror.get().items();
--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -119,9 +119,6 @@
   std::vector<MemberRecord> MembersOf(const std::vector<DataCentreId>& data_centres) const;
   /// \returns the layout of the cells, or nothing if none is stored yet.
   std::optional<CellLayout> Layout() const;
-  /// \returns the number of uncancelled submissions of \a queue of which no task has begun, over
-  ///   all cells.
-  std::uint64_t PendingOf(const QueueId& queue) const;
   /// \returns all live hosts.
   std::vector<MemberRecord> Members() const;
   /// \returns the number of cells that \a host owns.
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -71,6 +71,7 @@
 
   // 4000: requests (events/request_events.cc)
   kCallerAnswered = 4101,
+  kPendingCounted = 4102,
 
   // 5000: configuration (events/configuration_events.cc)
   kConfigurationInForce = 5101,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -88,8 +88,9 @@
        "A target's registration cannot be read; the target gets no work."},
       {EventCode::kCellLoad, Severity::kInfo, "cell-load",
        "Resources that a cell's targets have and use, and what its waiting tasks need, in "
-       "thousandths of a core, every 2 s; also how many long-running tasks lost their run, and the "
-       "longest time that one of them has been without a run."},
+       "thousandths of a core, every 2 s; also how many long-running tasks lost their run, the "
+       "longest time that one of them has been without a run, how many submissions wait, and of "
+       "how many it is not known whether a run of the earlier owner has begun."},
       {EventCode::kTargetRestarted, Severity::kWarning, "target-reborn",
        "A target restarted under the same id; starts without an answer may have been carried out "
        "by the new incarnation, so its list of runs is searched for them."},
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -185,6 +185,11 @@
     (is_best_effort ? waiting_best_effort : waiting) += pending_step.sort_key.waiting_cpu;
   }
   const TasksWithoutRun without_run = this->CountTasksWithoutRun(now);
+  SubmissionCount pending;
+  for (const auto& [queue, count] : this->CountNotBegun()) {
+    pending.waiting += count.waiting;
+    pending.unconfirmed += count.unconfirmed;
+  }
   const auto to_text = [](auto number) { return std::to_string(number); };
   std::vector<std::pair<std::string, std::string>> fields{
       {"cell", this->cell_id.str()},
@@ -200,7 +205,9 @@
       {"waiting-fill-m", to_text(waiting_best_effort)},
       {"without-run", to_text(without_run.count)},
       {"without-run-ms", MillisecondsText(without_run.longest)},
-      {"open", to_text(this->open_submissions.size())}};
+      {"open", to_text(this->open_submissions.size())},
+      {"pending", to_text(pending.waiting)},
+      {"unconfirmed", to_text(pending.unconfirmed)}};
   if (!this->evacuated_data_centres.empty()) {
     fields.emplace_back("evacuated", to_text(this->evacuated_data_centres.size()));
     fields.emplace_back("evacuated-runs", to_text(this->ProgressOfEvacuations().runs));
@@ -355,15 +362,25 @@
              : std::nullopt;
 }
 
-std::map<QueueId, std::uint64_t> Cell::Pending() const {
-  std::map<QueueId, std::uint64_t> pending;
+std::map<QueueId, Cell::SubmissionCount> Cell::CountNotBegun() const {
+  std::map<QueueId, SubmissionCount> counts;
   for (const SubmissionId& id : this->open_submissions) {
     const Submission& submission = this->all_submissions.at(id);
     if (submission.cancelled || submission.begun) {
       continue;
     }
-    if (!submission.AnyTask([](const Task& task) { return task.inherited; })) {
-      pending[submission.accepted.queue.id]++;
+    SubmissionCount& count = counts[submission.accepted.queue.id];
+    const bool unconfirmed = submission.AnyTask([](const Task& task) { return task.inherited; });
+    (unconfirmed ? count.unconfirmed : count.waiting)++;
+  }
+  return counts;
+}
+
+std::map<QueueId, std::uint64_t> Cell::Pending() const {
+  std::map<QueueId, std::uint64_t> pending;
+  for (const auto& [queue, count] : this->CountNotBegun()) {
+    if (count.waiting != 0) {
+      pending[queue] = count.waiting;
     }
   }
   return pending;
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -86,9 +86,7 @@
   } else if (std::holds_alternative<PendingRequest>(request) && outdated) {
     done(this->Unavailable("configuration-old"));
   } else if (const auto* pending = std::get_if<PendingRequest>(&request)) {
-    CallerAnswer answer = internal::MakeAnswer(Outcome::kPending);
-    answer.pending = view.PendingOf(pending->queue);
-    done(answer);
+    done(this->AnswerPending(pending->queue));
   } else if (std::holds_alternative<UnroutedRequest>(request)) {
     done(outdated ? this->Unavailable("configuration-old")
                   : internal::MakeAnswer(Outcome::kNoSuchQueue));
@@ -100,6 +98,22 @@
   }
 }
 
+CallerAnswer RequestHandler::AnswerPending(const QueueId& queue) {
+  const PendingCount count = this->callbacks.count_pending(queue);
+  CallerAnswer answer = internal::MakeAnswer(Outcome::kPending);
+  answer.pending = count.waiting;
+  this->events.push_back(
+      {EventCode::kPendingCounted,
+       {{"queue", queue.str()},
+        {"answer", std::to_string(answer.pending)},
+        {"cells", std::to_string(count.cells)},
+        {"missing", std::to_string(count.missing_cells)},
+        {"oldest", count.oldest_cell.str()},
+        {"age-ms",
+         count.written_after ? MillisecondsText(this->now - *count.written_after) : "unknown"}}});
+  return answer;
+}
+
 void RequestHandler::Submit(const SubmitRequest& request,
                             const ActiveConfiguration& active_configuration,
                             const ClusterView& view, WallTime wall, const Caller& caller) {
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -9,6 +9,7 @@
 
 #include "pistachio/connection/store.h"
 #include "pistachio/process/ownership/cluster_view.h"
+#include "pistachio/process/ownership/pending_count.h"
 #include "pistachio/process/scheduling/admission.h"
 #include "pistachio/process/scheduling/cell.h"
 #include "pistachio/request/caller_request.h"
@@ -56,6 +57,8 @@
   std::function<Cell*(const CellId&)> find_owned_cell;
   /// Returns all cells with their load and the number of ready targets that can run the request.
   std::function<std::vector<CellCandidate>(const SubmitRequest&)> candidates;
+  /// Returns the number of waiting submissions of a queue, as far as this host knows.
+  std::function<PendingCount(const QueueId&)> count_pending;
   /// Called with the cell of a submission that was accepted here.
   std::function<void(const CellId&, const AcceptedSubmission&)> on_accepted;
   std::function<bool()> is_store_reachable;
@@ -108,6 +111,7 @@
     Transaction write;
   };
 
+  CallerAnswer AnswerPending(const QueueId& queue);
   void Submit(const SubmitRequest& request, const ActiveConfiguration& active_configuration,
               const ClusterView& view, WallTime wall, const Caller& caller);
   /// Predicts the end of the submission in each cell and removes the cells in which it would be
