Check counts of waiting submissions in the emulator, with two cases that fail

Cause: no test asked a host how many submissions wait while others accept them, so MIXED could not be seen in the emulator. Change: Run() asks every host without recent faults each half a second, and the checker compares the answer with the submissions that were accepted over 5 s before and have not begun, as the rule says.

--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -10,6 +10,8 @@
 constexpr Duration kCancelBound = std::chrono::milliseconds(3000);
 /// Time after an acceptance from which every host must know the submission id.
 constexpr Duration kVisibleBound = std::chrono::milliseconds(3000);
+/// Time after an acceptance from which every count of waiting submissions must consider it.
+constexpr Duration kCountedBound = kVisibleBound + std::chrono::milliseconds(2000);
 /// Crashes under a task from which on its submission may be reported as failed.
 constexpr std::uint32_t kCrashesToGiveUp = 2;
 /// Crashes under a deadly task from which on its starts are counted.
@@ -43,6 +45,22 @@
   this->cancelled.emplace(id, now);
 }
 
+void RuleChecker::OnPendingReported(const std::string& host, std::uint64_t pending, TimePoint now) {
+  std::uint64_t waiting = 0;
+  for (const auto& [id, accepted_at] : this->accepted_ids) {
+    const bool open = this->begun.count(id) == 0 && this->cancelled.count(id) == 0 &&
+                      this->ReportedState(id) != SubmissionState::kFailed;
+    const bool once = this->submissions.at(id).spec.repeat_count == 0;
+    waiting += open && once && now - accepted_at > internal::kCountedBound ? 1 : 0;
+  }
+  if (pending * 2 < waiting) {
+    this->AddViolation("MIXED", std::to_string(pending) + " submissions are said to wait at " +
+                                    host + " at " + std::to_string(now.time_since_epoch().count()) +
+                                    " us; " + std::to_string(waiting) +
+                                    " have waited for over 5 s");
+  }
+}
+
 bool RuleChecker::IsStepDone(const SubmissionId& id, std::uint32_t occurrence,
                              std::uint32_t step) const {
   const StepSpec& spec = this->submissions.at(id).spec.steps[step];
@@ -141,6 +159,7 @@
     this->AddViolation("UNASKED", description + " does not match any submission");
     return;
   }
+  this->begun.insert(task.submission);
   if (!checkpoint.empty() && this->checkpoints[name].count(checkpoint) == 0) {
     this->AddViolation("UNASKED",
                        description + " starts from a checkpoint that its task has not saved");
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -27,6 +27,10 @@
   /// A caller received the answer that an id is unknown.
   void OnUnknownId(const SubmissionId& id, TimePoint now);
 
+  /// A host has told a caller how many submissions wait. Call it only for hosts without recent
+  /// faults.
+  void OnPendingReported(const std::string& host, std::uint64_t pending, TimePoint now);
+
   /// A target has started a run. \param skip_time_bounds skips rules that have a time bound,
   ///   because the order was executed late, or hosts or the store had faults
   void OnStart(const TaskKey& task, RunNumber run, const std::string& target,
@@ -127,6 +131,7 @@
   std::map<SubmissionId, SubmissionRecord> submissions;
   std::map<SubmissionId, TimePoint> accepted_ids;  ///< with the time of the first acceptance
   std::set<SubmissionId> rejected_ids;             ///< rejected and never accepted
+  std::set<SubmissionId> begun;                    ///< a run of a task has started
   std::map<SubmissionId, TimePoint> cancelled;     ///< with the time of the first acknowledgement
   std::map<SubmissionId, SubmissionState> reported_states;          ///< last state reported
   std::map<std::string, std::map<std::string, RunNumber>> running;  ///< by task, then target
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -11,6 +11,8 @@
 constexpr const char* kEvacuationPrefix = "evacuations/";
 /// Step of the simulated clock.
 constexpr Duration kTick = std::chrono::milliseconds(10);
+/// Interval at which hosts are asked how many submissions wait.
+constexpr Duration kPendingQueryInterval = std::chrono::milliseconds(500);
 /// Time after the end of a fault from which rules with a time bound are checked again.
 constexpr Duration kSettleTime = std::chrono::milliseconds(3000);
 /// Interval at which a target writes its registration.
@@ -116,6 +118,10 @@
     }
     this->RecordDisturbances();
     this->AnswerWaitingCalls();
+    if (this->clock_now >= this->next_pending_query) {
+      this->next_pending_query = this->clock_now + internal::kPendingQueryInterval;
+      this->QueryPendingAtHosts();
+    }
     for (const auto& [name, host] : this->all_hosts) {
       if (host->node && !host->frozen) {
         host->node->Tick(this->clock_now, this->WallNow());
@@ -173,7 +179,8 @@
     }
     StoreReply reply;
     reply.status = StoreStatus::kOk;
-    reply.revision = watch->watch.after_revision;
+    reply.revision = this->store_faults.silent_watches ? watch->watch.after_revision
+                                                       : this->store.current_revision();
     const auto answer = watch->answer;
     watch = this->watches.erase(watch);
     if (!this->store_faults.down) {
@@ -592,6 +599,20 @@
       on_answer);
 }
 
+void SimulatedCluster::QueryPendingAtHosts() {
+  for (const auto& [name, host] : this->all_hosts) {
+    if (!this->IsUndisturbed(name)) {
+      continue;
+    }
+    this->QueryPending(name, [this, host_name = name](const CallerAnswer& answer) {
+      this->pending_answer_counts[answer.outcome]++;
+      if (answer.outcome == Outcome::kPending) {
+        this->rule_checker.OnPendingReported(host_name, answer.pending, this->clock_now);
+      }
+    });
+  }
+}
+
 void SimulatedCluster::QueryAllStates() {
   for (const auto& [id, spec] : this->specs) {
     for (const auto& [name, host] : this->all_hosts) {
--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -152,6 +152,13 @@
   void QueryState(const std::string& host, const SubmissionId& id);
   /// \brief Requests the number of waiting submissions of the queue at a host.
   void QueryPending(const std::string& host, const OnAnswer& on_answer);
+  /// \brief Requests that number at every host without recent faults, and has the checker compare
+  /// it with the submissions that wait. Run() does so every half a second.
+  void QueryPendingAtHosts();
+  /// \returns the number of answers to QueryPendingAtHosts() by outcome.
+  const std::map<Outcome, std::size_t>& pending_answers() const {
+    return this->pending_answer_counts;
+  }
   /// \brief Queries the state of every submission at every host.
   void QueryAllStates();
   /// \brief Sets how long a submission's tasks run and whether they fail.
@@ -291,6 +298,8 @@
   std::list<WaitingWatch> watches;
   std::list<WaitingHold> holds;
   std::map<Outcome, std::size_t> answer_counts;
+  std::map<Outcome, std::size_t> pending_answer_counts;
+  TimePoint next_pending_query{};
   RuleChecker rule_checker;
   TimePoint store_disturbed_at{};
   std::vector<std::string> log;
--- /dev/null
+++ b/tests/emulator/pending_count_test.cc
@@ -0,0 +1,70 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "emulator/simulated_cluster.h"
+#include "tests/emulator/cluster_checks.h"
+
+namespace pistachio::emulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+SubmissionId Id(int number) {
+  std::string digits = std::to_string(number);
+  return SubmissionId(std::string(16 - digits.size(), '0') + digits);
+}
+
+/// Submits urgent work at a host each 100 ms for \a time. \param next number of the next submission
+void SubmitFor(SimulatedCluster* cluster, const std::string& host, Duration time, int* next) {
+  for (Duration spent{0}; spent < time; spent += milliseconds(100)) {
+    cluster->Submit(host, Id((*next)++), MakeSubmission(1, 1, milliseconds(500)));
+    cluster->Run(milliseconds(100));
+  }
+}
+
+// The owner holds its cell and writes load records, but its watch of the cell's inbox is lost,
+// while other hosts accept submissions into the cell.
+TEST_CASE("submissions that the owner has not heard of are not left out of the count",
+          "[emulator][pending_count][.known-red]") {
+  SimulatedClusterSettings settings;
+  settings.layout = CellLayout::kOneCell;
+  SimulatedCluster cluster(settings);
+  cluster.Run(seconds(4));
+  const std::string owner = cluster.OwnerOf("all");
+  const std::string other = owner == "north-host-0" ? "south-host-0" : "north-host-0";
+  cluster.store_faults.lost_watches.insert({owner, "in/all/"});
+  int next = 1;
+  SubmitFor(&cluster, other, seconds(9), &next);
+  cluster.store_faults = StoreFaults{};
+  cluster.Run(seconds(10));
+  RequireNoViolations(&cluster);
+}
+
+// All targets of a cell crash right before an owner assigns work to them, so its starts get no
+// answer, and then the owner is killed. The next one waits for the targets' leases to end.
+TEST_CASE("submissions that a lost target may have begun are not left out of the count",
+          "[emulator][pending_count][.known-red]") {
+  SimulatedClusterSettings settings;
+  settings.layout = CellLayout::kOneCell;
+  SimulatedCluster cluster(settings);
+  cluster.Run(seconds(4));
+  for (const std::string& target : cluster.targets()) {
+    cluster.CrashTarget(target);
+  }
+  const std::string owner = cluster.OwnerOf("all");
+  const std::string other = owner == "north-host-0" ? "south-host-0" : "north-host-0";
+  int next = 1;
+  SubmitFor(&cluster, other, seconds(1), &next);
+  cluster.KillHost(owner);
+  cluster.Run(seconds(12));
+  for (const std::string& target : cluster.targets()) {
+    cluster.RestartTarget(target);
+  }
+  cluster.StartHost(owner);
+  cluster.Run(seconds(20));
+  RequireNoViolations(&cluster);
+}
+
+}  // namespace
+}  // namespace pistachio::emulator
