Judge the age of answers by the time at which a request is handled

A caller of a host that had been suspended for 6 s got a count of waiting submissions from before the suspension. Cause: requests that waited in the queue of the process were handled before its next tick, with the time of the last one, so copies of the store's data seemed as recent as they were then. The same time decides whether a queue does not exist. Change: the daemon passes the time at which it handles a request. Evidence: 'a host that resumes answers no count from before its suspension' failed before ({ 3, 3, 3 } == { 3, 8, 3 }, a count in place of 'unavailable') and passes now; test_node passes.

--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -548,7 +548,8 @@
         if (on_answer) {
           on_answer(answer);
         }
-      });
+      },
+      this->clock_now);
 }
 
 void SimulatedCluster::Cancel(const std::string& host, const SubmissionId& id) {
@@ -565,7 +566,8 @@
         if (answer.outcome == Outcome::kCancelled || answer.outcome == Outcome::kInDoubt) {
           this->rule_checker.OnCancelAcknowledged(id, this->clock_now);
         }
-      });
+      },
+      this->clock_now);
 }
 
 void SimulatedCluster::QueryState(const std::string& host, const SubmissionId& id) {
@@ -584,7 +586,8 @@
         } else if (answer.outcome == Outcome::kUnknownId) {
           this->rule_checker.OnUnknownId(id, this->clock_now);
         }
-      });
+      },
+      this->clock_now);
 }
 
 void SimulatedCluster::QueryPending(const std::string& host, const OnAnswer& on_answer) {
@@ -596,7 +599,7 @@
       [](const Configuration& configuration) -> CallerRequest {
         return PendingRequest{configuration.queues.front().id};
       },
-      on_answer);
+      on_answer, this->clock_now);
 }
 
 void SimulatedCluster::QueryPendingAtHosts() {
--- a/pistachio/process/node/daemon.cc
+++ b/pistachio/process/node/daemon.cc
@@ -148,7 +148,8 @@
         },
         [this, request, received_at](const CallerAnswer& answer) {
           this->AnswerCaller(request, answer, received_at);
-        });
+        },
+        Now(this->clock));
   });
 }
 
--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -326,8 +326,10 @@
   }
 }
 
-void Node::Handle(const Decode& decode, const RequestHandler::AnswerCallback& done) {
-  this->HandleWithRetries(decode, done, this->now, internal::kMaxHandleAttempts);
+void Node::Handle(const Decode& decode, const RequestHandler::AnswerCallback& done,
+                  TimePoint handled_at) {
+  this->HandleWithRetries(decode, done, std::max(this->now, handled_at),
+                          internal::kMaxHandleAttempts);
 }
 
 void Node::HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -128,7 +128,10 @@
 
   /// \brief Handles a caller's request. \param done gets the answer; runs once, during this call or
   /// later on the control thread
-  void Handle(const Decode& decode, const RequestHandler::AnswerCallback& done);
+  /// \param handled_at current time; after a suspension of the process it is later than that of the
+  /// last Tick()
+  void Handle(const Decode& decode, const RequestHandler::AnswerCallback& done,
+              TimePoint handled_at);
 
   /// \returns true if the load balancer should route new callers to this host.
   bool Ready() const;
--- a/tests/emulator/suspended_owner_test.cc
+++ b/tests/emulator/suspended_owner_test.cc
@@ -43,5 +43,26 @@
   }
 }
 
+// Requests that wait in the queue of a suspended process are handled before it notices the time.
+TEST_CASE("a host that resumes answers no count from before its suspension", "[emulator]") {
+  SimulatedCluster cluster({});
+  cluster.Run(seconds(5));
+  std::vector<Outcome> outcomes;
+  const auto query = [&cluster, &outcomes] {
+    cluster.QueryPending("north-host-0", [&outcomes](const CallerAnswer& answer) {
+      outcomes.push_back(answer.outcome);
+    });
+  };
+  query();
+  cluster.FreezeHost("north-host-0");
+  cluster.Run(seconds(6));
+  cluster.ResumeHost("north-host-0");
+  query();
+  cluster.Run(seconds(6));
+  query();
+  REQUIRE(outcomes ==
+          std::vector<Outcome>{Outcome::kPending, Outcome::kUnavailable, Outcome::kPending});
+}
+
 }  // namespace
 }  // namespace pistachio::emulator
