Bound the submissions whose start is not confirmed by the earlier count

Cause: after a change of owner, what runs looks like what had a start without an answer; and where such submissions prevailed, the count was refused. Change: what has begun stays begun, so the last load record of the earlier owner bounds how many of the submissions that it considered still wait. Owners and the hosts that stand in for them apply that bound, and the sum is always answered.

--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -255,6 +255,7 @@
   state.departures.Clear();
   state.destination_revisions.clear();
   state.load_in_flight = false;
+  state.earlier_count_read = false;
   state.commit_timeout = this->settings.commit_timeout;
   state.better_owner_since = state.now;
   state.seen_as_owner = false;
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -168,6 +168,7 @@
     TimePoint ended_counted_at{};
     double end_rate = 0.0;  ///< smoothed rate of the counter, in core-seconds a second
     bool load_in_flight = false;
+    bool earlier_count_read = false;  ///< the load record of the earlier owner was read
     bool probe_in_flight = false;
     bool targets_reachable = false;  ///< result of the last probe while the cell is unowned
     bool stopping = false;           ///< set for good by Release
--- a/pistachio/process/ownership/cell_ownership_commit.cc
+++ b/pistachio/process/ownership/cell_ownership_commit.cc
@@ -249,6 +249,12 @@
   State& state = *this->state;
   state.next_load_at = state.now + this->settings.load_interval;
   LoadRecord load;
+  if (!std::exchange(state.earlier_count_read, true)) {
+    const auto earlier = view.LoadOf(this->cell_id);
+    if (const auto count = earlier ? earlier->Count() : std::nullopt) {
+      state.cell->SetEarlierCount(*count);
+    }
+  }
   load.pending = state.cell->CountNotBegun();
   load.counted_revision = this->inbox->revision();
   if (!state.departures.empty()) {
--- a/pistachio/process/ownership/cluster_view.cc
+++ b/pistachio/process/ownership/cluster_view.cc
@@ -198,6 +198,12 @@
       });
 }
 
+std::optional<EarlierCount> LoadRecord::Count() const {
+  return this->counted_revision
+             ? std::optional<EarlierCount>({*this->counted_revision, this->pending})
+             : std::nullopt;
+}
+
 CellRoom LoadRecord::Room() const {
   CellRoom room;
   room.targets = this->targets;
--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -8,6 +8,7 @@
 #include "pistachio/connection/store.h"
 #include "pistachio/process/ownership/cell_layout.h"
 #include "pistachio/process/scheduling/move_choice.h"
+#include "pistachio/process/scheduling/not_begun_count.h"
 #include "pistachio/process/scheduling/types.h"
 
 namespace pistachio {
@@ -62,6 +63,10 @@
   /// or moved there; nothing in records of earlier versions.
   std::optional<std::uint64_t> counted_revision;
 
+  /// \returns the count for a later writer of the record, or nothing if the record names no
+  ///   revision.
+  std::optional<EarlierCount> Count() const;
+
   /// \returns the part of the record that the choice of a cell depends on.
   CellRoom Room() const;
 };
--- a/pistachio/process/ownership/pending_count.cc
+++ b/pistachio/process/ownership/pending_count.cc
@@ -7,11 +7,6 @@
          now - *this->complete_until <= max_age;
 }
 
-std::optional<std::uint64_t> PendingCount::Estimate() const {
-  const auto& [waiting, unconfirmed] = this->submissions;
-  return unconfirmed <= waiting ? std::optional(waiting + unconfirmed) : std::nullopt;
-}
-
 PendingCount CountPending(const ClusterView& view, const std::vector<CellId>& cells,
                           const QueueId& queue, const RevisionClock& clock) {
   PendingCount count;
--- a/pistachio/process/ownership/pending_count.h
+++ b/pistachio/process/ownership/pending_count.h
@@ -21,9 +21,8 @@
   /// \returns true if the count considers all submissions that were accepted before \a now -
   ///   \a max_age.
   bool IsComplete(TimePoint now, Duration max_age) const;
-  /// \returns the number of submissions of which no task is known to have begun, or nothing if
-  ///   less than half of them certainly wait. The number is then no answer, in either direction.
-  std::optional<std::uint64_t> Estimate() const;
+  /// \returns the number of submissions of which no task is known to have begun.
+  std::uint64_t Total() const { return this->submissions.waiting + this->submissions.unconfirmed; }
 };
 
 /// \returns the number of waiting submissions of \a queue over all of \a cells.
--- a/pistachio/process/ownership/unowned_cell.cc
+++ b/pistachio/process/ownership/unowned_cell.cc
@@ -141,20 +141,18 @@
   });
 }
 
-SubmissionCount UnownedCell::Count(const AcceptedSubmission& accepted) const {
+std::optional<bool> UnownedCell::MayHaveBegun(const AcceptedSubmission& accepted) const {
   const auto progress = this->state->progress.find(accepted.id);
   if (progress == this->state->progress.end()) {
-    return {1, 0};
+    return false;
   }
   Submission submission;
   submission.accepted = accepted;
   if (!DecodeProgress(progress->second, &submission) || submission.begun || submission.Ended()) {
-    return {};
+    return std::nullopt;
   }
   // The next owner inherits these tasks, see Cell::CountNotBegun().
-  const bool unconfirmed =
-      submission.AnyTask([](const Task& task) { return task.HoldsResources(); });
-  return unconfirmed ? SubmissionCount{0, 1} : SubmissionCount{1, 0};
+  return submission.AnyTask([](const Task& task) { return task.HoldsResources(); });
 }
 
 void UnownedCell::NoteDepartures() {
@@ -183,7 +181,7 @@
   this->NoteDepartures();
   const Precondition no_owner{store_keys::Owner(this->cell), 0};
   LoadRecord load = state.last_load;
-  load.pending.clear();
+  NotBegunCounter counter(state.last_load.Count());
   Transaction move;
   move.preconditions = {no_owner};
   for (const StoreItem& item : state.inbox) {
@@ -194,11 +192,12 @@
     if (!accepted) {
       continue;
     }
-    const SubmissionCount count = this->Count(*accepted);
-    SubmissionCount& pending = load.pending[accepted->queue.id];
-    pending.waiting += count.waiting;
-    pending.unconfirmed += count.unconfirmed;
-    if (count.waiting == 0) {
+    const auto may_have_begun = this->MayHaveBegun(*accepted);
+    if (!may_have_begun) {
+      continue;
+    }
+    counter.Add(accepted->queue.id, item.revision, *may_have_begun);
+    if (*may_have_begun) {
       continue;
     }
     const bool may_move = accepted->spec.repeat_count == 0 &&
@@ -233,6 +232,7 @@
   }
   state.inbox.clear();
   state.progress.clear();
+  load.pending = counter.Counts();
   load.counted_revision = state.inbox_revision;
   state.departures.AddTo(state.counted_revisions, state.now, &load);
   Transaction publish;
--- a/pistachio/process/ownership/unowned_cell.h
+++ b/pistachio/process/ownership/unowned_cell.h
@@ -71,8 +71,9 @@
   void RecordAbsence();
   void ReadInboxPage(const std::string& after_key);
   void ReadProgressPage(const std::string& after_key);
-  /// \returns the submission as a count of one, or of none if a task of it has begun.
-  SubmissionCount Count(const AcceptedSubmission& accepted) const;
+  /// \returns true if a task of the submission may have begun, or nothing if one has certainly
+  ///   begun or the submission has ended.
+  std::optional<bool> MayHaveBegun(const AcceptedSubmission& accepted) const;
   /// Publishes the number of waiting submissions and moves some of them.
   void OnRead();
   /// Notes which submissions of the last move have left the inbox, whether it was answered or not.
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -363,17 +363,15 @@
 }
 
 std::map<QueueId, SubmissionCount> Cell::CountNotBegun() const {
-  std::map<QueueId, SubmissionCount> counts;
+  NotBegunCounter counter(this->earlier_count);
   for (const SubmissionId& id : this->open_submissions) {
     const Submission& submission = this->all_submissions.at(id);
-    if (submission.cancelled || submission.begun) {
-      continue;
+    if (!submission.cancelled && !submission.begun) {
+      counter.Add(submission.accepted.queue.id, submission.revision,
+                  submission.AnyTask([](const Task& task) { return task.inherited; }));
     }
-    SubmissionCount& count = counts[submission.accepted.queue.id];
-    const bool unconfirmed = submission.AnyTask([](const Task& task) { return task.inherited; });
-    (unconfirmed ? count.unconfirmed : count.waiting)++;
   }
-  return counts;
+  return counter.Counts();
 }
 
 Duration Cell::Backlog() const {
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -11,6 +11,7 @@
 #include "pistachio/process/scheduling/cell_types.h"
 #include "pistachio/process/scheduling/duration_model.h"
 #include "pistachio/process/scheduling/evacuation_moves.h"
+#include "pistachio/process/scheduling/not_begun_count.h"
 #include "pistachio/process/scheduling/waiting_order.h"
 
 namespace pistachio {
@@ -126,6 +127,8 @@
   /// \returns the state of a submission in the store, `kQueued` if none is written yet, or nothing
   ///   if \a id is unknown.
   std::optional<SubmissionState> DurableState(const SubmissionId& id) const;
+  /// \brief Sets the last count of an earlier owner, see NotBegunCounter.
+  void SetEarlierCount(EarlierCount count) { this->earlier_count = std::move(count); }
   /// \returns the submissions of which no task is known to have begun, by queue.
   std::map<QueueId, SubmissionCount> CountNotBegun() const;
   /// \returns the estimated time until the waiting batch work is done: the processor time that it
@@ -642,6 +645,7 @@
   std::vector<std::pair<TaskKey, RunNumber>> uncommitted_assignments;  ///< in no commit yet
   std::set<TaskKey> orphaned_tasks;     ///< with an orphaned run in this scheduling round
   std::set<TaskKey> tasks_with_orders;  ///< tasks that are being started or stopped
+  std::optional<EarlierCount> earlier_count;
   std::optional<internal::PendingCommit> open_commit;      ///< not confirmed by the store yet
   std::map<OrderTicket, internal::SentOrder> sent_orders;  ///< not answered yet
   std::vector<OutgoingOrder> orders;                       ///< for the next `TakeOrders`
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -100,12 +100,10 @@
 
 CallerAnswer RequestHandler::AnswerPending(const QueueId& queue, TimePoint asked_at) {
   const PendingCount count = this->callbacks.count_pending(queue);
-  const auto estimate = count.Estimate();
-  const bool complete = count.IsComplete(asked_at, this->settings.max_count_age);
-  CallerAnswer answer = this->Unavailable(complete ? "starts-unconfirmed" : "count-old");
-  if (complete && estimate) {
+  CallerAnswer answer = this->Unavailable("count-old");
+  if (count.IsComplete(asked_at, this->settings.max_count_age)) {
     answer = internal::MakeAnswer(Outcome::kPending);
-    answer.pending = *estimate;
+    answer.pending = count.Total();
   }
   this->events.push_back(
       {EventCode::kPendingCounted,
