Use no idle connection again that may be as silent as a failed one

Cause: when all established connections to a peer went silent, libcurl took the next idle one for each call, and each of these calls waited for its whole timeout. With k idle connections, k calls in a row failed. Change: ConnectionTracker records the order in which connections were opened, used and answered. After a call on a reused connection has ended without a byte of an answer, the idle connections to the same peer that have not proved to work (been opened or answered) since its request was sent are shut down, and libcurl drops them. The age alone does not tell: libcurl uses the oldest first, and the younger ones are silent too. Connections in use stay with their calls, those proved since are kept, and a call without an answer on a new connection closes no other, so a slow server costs no new connections beyond the idle ones. TCP_USER_TIMEOUT is not set: it ends neither an idle connection nor one whose request has been acknowledged, and other calls end sooner by their own timeout.

--- a/pistachio/connection/http/http_client.cc
+++ b/pistachio/connection/http/http_client.cc
@@ -1,12 +1,17 @@
 #include "pistachio/connection/http/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <future>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 
+#include "pistachio/connection/http/connection_tracker.h"
+
 namespace pistachio {
 
 namespace internal {
@@ -22,18 +27,42 @@
   Clock clock;
   bool sent = false;     ///< a request may have reached the server
   bool expired = false;  ///< the time of HttpCall::send_before had passed
+  ConnectionTracker* tracker = nullptr;
+  std::optional<curl_socket_t> new_socket;  ///< opened for this call, no request sent on it yet
+  ConnectionEnds connection;                ///< connection of the last request
+  bool reused = false;                      ///< the connection was open before the call
+  ConnectionTracker::EventNumber request = 0;
 };
 
+/// libcurl callback that runs when a socket is created for a call.
+int RememberSocket(void* user_data, curl_socket_t socket, curlsocktype /*purpose*/) {
+  static_cast<Transfer*>(user_data)->new_socket = socket;
+  return CURL_SOCKOPT_OK;
+}
+
+/// libcurl callback that closes a socket, at times after its call has ended.
+int CloseSocket(void* user_data, curl_socket_t socket) {
+  static_cast<ConnectionTracker*>(user_data)->OnClose(socket);
+  return close(socket);
+}
+
 /// libcurl callback that runs before each time that the request is sent, also before it is repeated
 /// on another connection.
-int CheckSendTime(void* user_data, char* /*primary_ip*/, char* /*local_ip*/, int /*primary_port*/,
-                  int /*local_port*/) {
+int OnConnectionChosen(void* user_data, char* primary_ip, char* /*local_ip*/, int primary_port,
+                       int local_port) {
   auto* transfer = static_cast<Transfer*>(user_data);
+  transfer->connection = {std::string(primary_ip) + ":" + std::to_string(primary_port), local_port};
+  transfer->reused = !transfer->new_socket;
+  if (transfer->new_socket) {
+    transfer->tracker->OnConnect(transfer->connection, *transfer->new_socket);
+    transfer->new_socket.reset();
+  }
   if (Now(transfer->clock) >= transfer->call.send_before) {
     transfer->expired = true;
     return CURL_PREREQFUNC_ABORT;
   }
   transfer->sent = true;
+  transfer->request = transfer->tracker->OnRequest(transfer->connection);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -83,8 +112,12 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout > 0 ? timeout : 1);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, CollectBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, CheckSendTime);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnConnectionChosen);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, RememberSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, CloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer.tracker);
   SetMethodAndBody(easy, transfer.call);
   SetHeaders(easy, transfer);
   if (transfer.call.send_once) {
@@ -124,6 +157,29 @@
   transfer.result.body.clear();
 }
 
+/// Shuts down the idle connections that may be as silent as the one of a call without an answer.
+/// libcurl finds them closed and does not use them again.
+void DropSuspectConnections(CURL* easy, CURLcode code, Transfer& transfer) {
+  if (!transfer.sent) {
+    return;
+  }
+  if (code == CURLE_OK) {
+    transfer.tracker->OnAnswer(transfer.connection, transfer.request);
+    return;
+  }
+  long header_bytes = 0;  // NOLINT(google-runtime-int)
+  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_bytes);
+  // A new connection without an answer shows that the server is slow or down, not that others are
+  // silent.
+  if (!transfer.reused || transfer.expired || header_bytes > 0) {
+    return;
+  }
+  for (const int socket :
+       transfer.tracker->FindSuspect(transfer.connection.first, transfer.request)) {
+    shutdown(socket, SHUT_RDWR);
+  }
+}
+
 }  // namespace internal
 
 struct HttpClient::State {
@@ -134,6 +190,7 @@
   std::vector<internal::Transfer> submitted;  ///< calls not yet started
   // Used only by the client's thread.
   std::unordered_map<CURL*, internal::Transfer> in_flight;
+  ConnectionTracker connections;
   std::vector<CURL*> idle_handles;  ///< reused, because creating a handle costs more than a call
   std::thread thread;
 
@@ -157,6 +214,7 @@
   }
   // Nodes of the map keep their address, so libcurl may hold pointers into them.
   internal::Transfer& stored = this->in_flight.emplace(easy, std::move(transfer)).first->second;
+  stored.tracker = &this->connections;
   internal::ConfigureHandle(easy, stored);
   curl_multi_add_handle(this->multi, easy);
 }
@@ -179,6 +237,7 @@
 void HttpClient::State::Finish(CURL* easy, CURLcode code) {
   internal::Transfer& transfer = this->in_flight.at(easy);
   internal::FillResult(easy, code, transfer);
+  internal::DropSuspectConnections(easy, code, transfer);
   const HttpResult result = std::move(transfer.result);
   const Callback callback = std::move(transfer.callback);
   curl_multi_remove_handle(this->multi, easy);
