Keep the HTTP tests free of the usual time limit of a call

Cause: the cases of tests/http/http_exchange_test.cc use calls with a timeout of 2 s, which none of them is about. When the process does not run for longer than that with a call in flight, libcurl reports a timeout before it reads the answer that has arrived. Line 192 then fails with "" == "ok", as the run on arm64 beside load did. In the case of the server that stops, calls that time out and are sent again are counted as held, and the server answers fewer. Change: these calls have a timeout of a minute. Every assertion stays; an answer that does not come still fails. That the first failure had this cause is likely, not shown: its 17 s were not seen again.

--- a/tests/http/http_exchange_test.cc
+++ b/tests/http/http_exchange_test.cc
@@ -94,6 +94,14 @@
   std::thread thread;
 };
 
+/// Call that is answered also if this process does not run for some seconds. libcurl reports a
+/// timeout before it reads an answer that has arrived meanwhile.
+HttpCall PatientCall() {
+  HttpCall call;
+  call.timeout = std::chrono::minutes(1);
+  return call;
+}
+
 TEST_CASE("an answer may come later and from another thread than the handler's", "[http]") {
   HttpServer* running = nullptr;
   std::thread answering;
@@ -108,7 +116,7 @@
   const auto address = server.Listen(ListenAddress{});
   REQUIRE(address);
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.method = "POST";
   call.url = "http://" + address->str() + "/path?q=7";
   call.headers = {{"X-Test", "header"}};
@@ -132,7 +140,7 @@
   running = &server;
   const auto address = server.Listen(ListenAddress{});
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.url = "http://" + address->str() + "/";
   REQUIRE(client.SendAndWait(call).body == "first");
   REQUIRE(taken == 1);
@@ -148,7 +156,7 @@
   running = &server;
   const auto address = server.Listen(ListenAddress{});
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.method = "POST";
   call.url = "http://" + address->str() + "/";
   call.body = std::string(100000, 'x');
@@ -159,7 +167,7 @@
 
 TEST_CASE("a call whose connection is refused fails as not sent", "[http]") {
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   {
     HttpServer server(HttpServerLimits{}, [](const ServedRequest& /*request*/) {});
     call.url = "http://" + server.Listen(ListenAddress{})->str() + "/";
@@ -171,7 +179,7 @@
 TEST_CASE("a failed call tells whether a part of its answer arrived", "[http]") {
   ClosingServer server(true);
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.url = server.url();
   const HttpResult cut_off = client.SendAndWait(call);
   REQUIRE_FALSE(cut_off.answered());
@@ -185,7 +193,7 @@
 TEST_CASE("a request with send_once is not sent again when its connection closes", "[http]") {
   ClosingServer server;
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.method = "POST";
   call.url = server.url();
   call.body = "callout";
@@ -200,7 +208,7 @@
           "[http]") {
   ClosingServer server;
   HttpClient client;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.method = "POST";
   call.url = server.url();
   call.body = "renewal";
@@ -215,7 +223,7 @@
   ManualClock clock;
   HttpClient client(0, clock);
   ClosingServer server;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.url = server.url();
   call.send_before = clock.Now() + std::chrono::seconds(1);
   REQUIRE(client.SendAndWait(call).answered());
@@ -230,7 +238,7 @@
   ManualClock clock;
   HttpClient client(0, clock);
   ClosingServer server(false, [clock]() mutable { clock.Advance(std::chrono::seconds(1)); });
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.method = "POST";
   call.url = server.url();
   call.body = "start";
@@ -248,7 +256,7 @@
     running->Answer(request.exchange, answer);
   });
   running = &server;
-  HttpCall call;
+  HttpCall call = PatientCall();
   call.url = "http://" + server.Listen(ListenAddress{})->str() + "/";
   call.max_answer_bytes = 4999;
   HttpClient client;
@@ -270,7 +278,7 @@
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       HttpClient client;
-      HttpCall call;
+      HttpCall call = PatientCall();
       call.url = url;
       while (!stopped) {
         refused += client.SendAndWait(call).status == 503 ? 1 : 0;
