Check counts of waiting submissions beside faults of owners in the emulator

Cause: the count was checked under four faults only, and the emulator could not give one host faulty writes. Change: StoreFaults::write_faults refuses, delays or leaves without an answer the writes of one host, whose lease goes on. A host without a configuration can be asked (the emulator crashed).

--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -53,6 +53,7 @@
     const bool once = this->submissions.at(id).spec.repeat_count == 0;
     waiting += open && once && now - accepted_at > internal::kCountedBound ? 1 : 0;
   }
+  this->checked_counts += waiting > 0 ? 1 : 0;
   if (pending * 2 < waiting) {
     this->AddViolation("MIXED", std::to_string(pending) + " submissions are said to wait at " +
                                     host + " at " + std::to_string(now.time_since_epoch().count()) +
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -30,6 +30,8 @@
   /// A host has told a caller how many submissions wait. Call it only for hosts without recent
   /// faults.
   void OnPendingReported(const std::string& host, std::uint64_t pending, TimePoint now);
+  /// \returns the number of reports while submissions had waited long enough to be counted.
+  std::size_t counts_checked() const { return this->checked_counts; }
 
   /// A target has started a run. \param skip_time_bounds skips rules that have a time bound,
   ///   because the order was executed late, or hosts or the store had faults
@@ -148,6 +150,7 @@
   std::map<std::string, std::size_t> starts_by_zone;         ///< number of starts by data centre
   std::vector<std::string> all_violations;
   std::size_t start_count = 0;
+  std::size_t checked_counts = 0;  ///< see counts_checked()
 };
 
 }  // namespace pistachio::emulator
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -155,7 +155,7 @@
     const auto first_watch = faults.lost_watches.lower_bound({name, ""});
     const bool loses_watch = first_watch != faults.lost_watches.end() && first_watch->first == name;
     if (host->frozen || !host->node || is_partitioned || loses_watch ||
-        faults.disconnected_hosts.count(name) != 0) {
+        faults.write_faults.count(name) != 0 || faults.disconnected_hosts.count(name) != 0) {
       host->disturbed_at = this->clock_now;
     }
   }
@@ -594,6 +594,10 @@
   }
   receiver.node->Handle(
       [](const Configuration& configuration) -> CallerRequest {
+        // A host that has just started has no configuration.
+        if (configuration.queues.empty()) {
+          return UnroutedRequest{};
+        }
         return PendingRequest{configuration.queues.front().id};
       },
       on_answer);
--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -33,6 +33,14 @@
   std::optional<std::chrono::milliseconds> evacuation_apply;
 };
 
+/// \brief Faults of one host's writes to the store. Its reads, watches and leases have none.
+/// Probabilities are from 0 to 1.
+struct HostWriteFaults {
+  bool refuses = false;                  ///< every write is answered as refused and not executed
+  double lost_answer_probability = 0.0;  ///< of a write that is executed and not answered
+  double late_write_probability = 0.0;   ///< of a write executed 1 to 6 s later and not answered
+};
+
 /// \brief Faults of calls to the store. Probabilities are from 0 to 1.
 struct StoreFaults {
   bool down = false;                     ///< no call is executed or answered
@@ -43,6 +51,8 @@
   double late_write_probability = 0.0;   ///< of a write executed 1 to 6 s later and not answered
   Duration extra_latency{0};             ///< added to each answer
   std::set<std::string> disconnected_hosts;  ///< hosts whose calls are lost
+  /// By host. A host with an entry counts as disturbed, the others do not.
+  std::map<std::string, HostWriteFaults> write_faults;
   /// Hosts and prefixes whose watches are lost.
   std::set<std::pair<std::string, std::string>> lost_watches;
   /// No watch reports a change, as before the store loses its history. The host counts as
--- a/emulator/simulated_cluster_calls.cc
+++ b/emulator/simulated_cluster_calls.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "emulator/simulated_cluster.h"
 
 namespace pistachio::emulator {
@@ -33,9 +35,16 @@
   const bool disconnected =
       this->store_faults.disconnected_hosts.count(host) != 0 ||
       (watch != nullptr && this->store_faults.lost_watches.count({host, watch->prefix}) != 0);
+  const auto found = this->store_faults.write_faults.find(host);
+  const HostWriteFaults host_faults =
+      found == this->store_faults.write_faults.end() ? HostWriteFaults{} : found->second;
   const bool answer_lost =
-      write && this->RandomFraction() < this->store_faults.lost_answer_probability;
-  const bool late = write && this->RandomFraction() < this->store_faults.late_write_probability;
+      write && this->RandomFraction() < std::max(this->store_faults.lost_answer_probability,
+                                                 host_faults.lost_answer_probability);
+  const bool late =
+      write && this->RandomFraction() < std::max(this->store_faults.late_write_probability,
+                                                 host_faults.late_write_probability);
+  const bool write_refused = write && host_faults.refuses;
   const bool refused = this->store_faults.refuse_probability > 0.0 &&
                        this->RandomFraction() < this->store_faults.refuse_probability;
   Duration answer_delay = this->settings.delay + this->store_faults.extra_latency;
@@ -54,11 +63,11 @@
     return;
   }
   this->Schedule(this->clock_now + this->settings.delay, [this, call, answer, answer_lost, refused,
-                                                          answer_delay] {
+                                                          write_refused, answer_delay] {
     if (this->store_faults.down) {
       return;
     }
-    if (this->store_faults.refuses || refused) {
+    if (this->store_faults.refuses || refused || write_refused) {
       StoreReply refusal;
       refusal.status = StoreStatus::kRefused;
       this->Schedule(this->clock_now + answer_delay, [answer, refusal] { answer(refusal); });
