Bound the numbers of a route

Cause: ReadQueue converted priority, maxAttempts and timeoutMs from double unchecked, which is undefined out of range, and took a negative stretch, time-out or slack as it was. ObjectiveOf converts the stretched path in the same way, also with a stretch from a stored record. Callers of such a route would get an arbitrary limit or time. Not seen at a site.

--- a/pistachio/process/scheduling/submission.cc
+++ b/pistachio/process/scheduling/submission.cc
@@ -199,8 +199,14 @@
 }
 
 Duration ObjectiveOf(const QueueSettings& queue, Duration critical_path) {
-  return std::chrono::duration_cast<Duration>(critical_path * queue.stretch) +
-         queue.objective_slack;
+  // A configuration may hold any number. With longer objectives, sums of times could overflow.
+  constexpr std::chrono::hours kMaxPart{24 * 365 * 10};
+  using Stretched = std::chrono::duration<double, Duration::period>;
+  const Stretched stretched =
+      std::min<Stretched>(std::max(Stretched(0), critical_path * queue.stretch), kMaxPart);
+  return std::chrono::duration_cast<Duration>(stretched) +
+         std::clamp<std::chrono::milliseconds>(queue.objective_slack, std::chrono::milliseconds(0),
+                                               kMaxPart);
 }
 
 Duration ObjectiveOf(const QueueSettings& queue, const SubmissionSpec& spec) {
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -9,6 +9,48 @@
 namespace pistachio::platform {
 namespace {
 
+TEST_CASE("a route's number out of range takes the nearest value in range or its default",
+          "[odd_entries]") {
+  const auto queue_with = [](const std::string& fields) {
+    const auto configuration = DecodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/","service":"s",)" + fields +
+        R"(},{"name":"q","host":"h","prefix":"/b/","service":"s","priority":3}]})");
+    REQUIRE(configuration);
+    REQUIRE(configuration->queues.size() == 2);
+    REQUIRE(configuration->queues[1].priority == 3);
+    return configuration->queues[0];
+  };
+  const QueueSettings large =
+      queue_with(R"("priority":1e300,"maxAttempts":4294967297,"stretch":1e300,"timeoutMs":1e300)");
+  CHECK(large.priority == std::numeric_limits<std::int32_t>::max());
+  CHECK(large.max_attempts == std::numeric_limits<std::uint32_t>::max());
+  CHECK(large.answer_timeout.count() == 4000000000000000);
+  const QueueSettings negative = queue_with(
+      R"("priority":-1e300,"maxAttempts":-1,"stretch":-2,"timeoutMs":-5,"targetDurationMs":-1e300)");
+  CHECK(negative.priority == std::numeric_limits<std::int32_t>::min());
+  CHECK(negative.max_attempts == 1);
+  CHECK(negative.stretch == 0.0);
+  CHECK(negative.answer_timeout.count() == 3000);
+  CHECK(negative.objective_slack.count() == 0);
+  const QueueSettings other_types =
+      queue_with(R"("priority":"1","maxAttempts":[],"stretch":{},"timeoutMs":null)");
+  CHECK(other_types.priority == 0);
+  CHECK(other_types.max_attempts == 1);
+  CHECK(other_types.stretch == 1.0);
+  CHECK(other_types.answer_timeout.count() == 3000);
+  const QueueSettings fractions = queue_with(R"("priority":1.5,"maxAttempts":2.0,"timeoutMs":9.5)");
+  CHECK(fractions.priority == 1);
+  CHECK(fractions.max_attempts == 2);
+  CHECK(fractions.answer_timeout.count() == 9);
+  // The objective of a submission has to stay within the range of the clocks.
+  SubmissionSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].count = 1;
+  spec.steps[0].estimate = std::chrono::seconds(100);
+  CHECK(ObjectiveOf(large, spec) > std::chrono::hours(24));
+  CHECK(ObjectiveOf(large, spec).count() < std::numeric_limits<Duration::rep>::max() / 2);
+}
+
 HttpResult Answered(const std::string& body) {
   HttpResult result;
   result.status = 200;
