Take an entry with port 0 for no target

Cause: DecodeTarget used the reader for listen addresses, for which port 0 means any port. An entry of another writer with port 0 counted as a target: its room counted in the choice of a cell and of the layout, no warning was written, and as the first of the list it was the target that a remote host probes before it takes a cell, which then always failed.

--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -41,7 +41,7 @@
   StandinSettings settings;
   BootClock clock;
   mutable std::mutex
-      mutex;  ///< guards `stopping`, the store, the checker, the targets and `waiting`
+      mutex;  ///< guards `stopping`, the store, the checker, the targets, `entries` and `waiting`
   std::condition_variable wake;
   bool stopping = false;
   emulator::FakeStore store;
@@ -51,6 +51,8 @@
   std::list<internal::WaitingRequest> waiting;
   std::unique_ptr<HttpServer> store_server;
   std::vector<std::unique_ptr<HttpServer>> target_servers;
+  std::vector<TargetEntry> entries;  ///< registrations of the targets
+  std::uint64_t sequence = 1;        ///< of the last registration that was written
   std::string store_address;
   std::thread thread;
 
@@ -173,7 +175,8 @@
       entry, workload_of, &this->saved_progress, &this->checker));
   this->targets.back()->Boot(index + 1, this->clock.Now());
   entry.incarnation = index + 1;
-  this->store.Write(platform::kTargetPrefix + entry.id.str(), EncodeTarget(entry, 1));
+  this->store.Write(platform::kTargetPrefix + entry.id.str(), EncodeTarget(entry, this->sequence));
+  this->entries.push_back(entry);
   return true;
 }
 
@@ -228,6 +231,25 @@
          "\nplatform.address=" + this->state->store_address + "\n";
 }
 
+void PlatformStandin::WriteItem(const std::string& key, const std::string& value) {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->store.Write(key, value);
+  this->state->wake.notify_one();
+}
+
+void PlatformStandin::SetLabels(std::size_t index, const std::vector<std::string>& labels) {
+  std::string key;
+  std::string value;
+  {
+    const std::lock_guard<std::mutex> lock(this->state->mutex);
+    TargetEntry& entry = this->state->entries.at(index);
+    entry.labels = labels;
+    key = platform::kTargetPrefix + entry.id.str();
+    value = EncodeTarget(entry, ++this->state->sequence);
+  }
+  this->WriteItem(key, value);
+}
+
 std::string PlatformStandin::Violations() const {
   const std::lock_guard<std::mutex> lock(this->state->mutex);
   std::string lines;
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "pistachio/connection/http.h"
 
@@ -33,6 +34,14 @@
   std::string HostSettingsText(const ListenAddress& callers, const ListenAddress& readiness,
                                const ListenAddress& control) const;
 
+  /// \brief Writes an item of the store, as another writer does.
+  void WriteItem(const std::string& key, const std::string& value);
+
+  /// \brief Writes the registration of a target anew, with other labels.
+  ///
+  /// \param index of the target, from 0
+  void SetLabels(std::size_t index, const std::vector<std::string>& labels);
+
   /// \returns the rule violations that the targets have observed, one line each.
   std::string Violations() const;
 
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -9,6 +9,26 @@
 namespace pistachio::platform {
 namespace {
 
+/// Returns the entry of a usable target with \a from replaced by \a to.
+std::optional<TargetEntry> DecodeChanged(const std::string& from, const std::string& to) {
+  std::string text =
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,"state":"ready",)"
+      R"("sequence":4,"coldRemainingMs":5,"drainRemainingMs":0,)"
+      R"("room":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a"],"born":12})";
+  text.replace(text.find(from), from.size(), to);
+  return DecodeTarget("servers/i-1", text);
+}
+
+// A host that probes such a target before it takes a cell never takes the cell.
+TEST_CASE("an entry with a port that no target can have names no target", "[odd_entries]") {
+  REQUIRE(DecodeChanged(":8080", ":65535"));
+  for (const char* port :
+       {":0", ":00000", ":65536", ":99999999999", ":-1", ":+80", ":8e2", ": 80", ":", ""}) {
+    INFO(port);
+    CHECK_FALSE(DecodeChanged(":8080", port));
+  }
+}
+
 TEST_CASE("a route's number out of range takes the nearest value in range or its default",
           "[odd_entries]") {
   const auto queue_with = [](const std::string& fields) {
