Take an entry with a number too large for no target

Cause: slots, sequence, born and the times of a registration could be any number or, but for slots and sequence, of any type. With born at its largest, no later life of that target counted as later; room of 1e12 let counts of slots exceed 32 bits. Missing and null fields are as before.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -29,6 +29,28 @@
   }
 }
 
+TEST_CASE("an entry with a number too large names no target", "[odd_entries]") {
+  for (const char* number :
+       {"1e999", "1e300", "-1e300", "99999999999999999999999", "\"9\"", "[]"}) {
+    INFO(number);
+    const std::string text = number;
+    CHECK_FALSE(DecodeChanged(R"("slots":8)", R"("slots":)" + text));
+    CHECK_FALSE(DecodeChanged(R"("sequence":4)", R"("sequence":)" + text));
+    CHECK_FALSE(DecodeChanged(R"("born":12)", R"("born":)" + text));
+    CHECK_FALSE(DecodeChanged(R"("cpu":16000)", R"("cpu":)" + text));
+    CHECK_FALSE(DecodeChanged(R"("coldRemainingMs":5)", R"("coldRemainingMs":)" + text));
+    CHECK_FALSE(DecodeChanged(R"("drainRemainingMs":0)", R"("drainRemainingMs":)" + text));
+  }
+  // No later life of the target would count as later than this one.
+  CHECK_FALSE(DecodeChanged(R"("born":12)", R"("born":18446744073709551615)"));
+  CHECK_FALSE(DecodeChanged(R"("born":12)", R"("born":-1)"));
+  CHECK_FALSE(DecodeChanged(R"("cpu":16000)", R"("cpu":999999999999)"));
+  CHECK(DecodeChanged(R"(,"born":12)", ""));
+  CHECK(DecodeChanged(R"("born":12)", R"("born":12.0)")->incarnation == 12);
+  CHECK(DecodeChanged(R"("sequence":4)", R"("sequence":18446744073709551615)"));
+  CHECK(DecodeChanged(R"("coldRemainingMs":5)", R"("coldRemainingMs":4.5)"));
+}
+
 TEST_CASE("a route's number out of range takes the nearest value in range or its default",
           "[odd_entries]") {
   const auto queue_with = [](const std::string& fields) {
