--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -126,5 +126,19 @@
   }
 }
 
+// The id is sent to the target in a header.
+TEST_CASE("an entry whose id no header can hold names no target", "[odd_entries]") {
+  const auto decode = [](const std::string& id) {
+    return DecodeTarget("servers/" + id,
+                        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,)"
+                        R"("state":"ready","sequence":4,"room":{"cpu":1000,"memMb":10}})");
+  };
+  REQUIRE(decode("i-1"));
+  for (const char* id : {"", "i\r\nX-More: 1", "i\n", "i 1", "i\t", "\xC3\xA9", "\x7F"}) {
+    INFO(id);
+    CHECK_FALSE(decode(id));
+  }
+}
+
 }  // namespace
 }  // namespace pistachio::platform
