Refuse stored records with text that is not UTF-8

Cause: CBOR text is not checked for UTF-8, while an order is JSON and dump() throws for other bytes. Nothing catches this on the control thread, so a record under in/ or run/ with such a payload, id or checkpoint would end the owner at the first order and each later owner too. Only another writer could leave such a record: callers' bodies and targets' lists are JSON, which is checked. Change: such a record is unreadable, which is logged, and the others hold. Fields that are never sent as JSON may still hold any bytes, such as the progress inside an accepted record. Result: "a stored record with text that no order can hold is unreadable" failed before: odd_entries_test.cc:149: FAILED: CHECK_NOTHROW( EncodeOrder(order, 7) ) with type_error.316, invalid UTF-8 byte at index 1. It passes in a release and an asan build. The end of a process was not played; it follows from the code.

--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -11,6 +11,10 @@
 
 using Json = nlohmann::json;
 
+/// Throws if \a text is not UTF-8, which CBOR does not check. No order and no key of a JSON message
+/// could hold such text.
+void CheckUtf8(const std::string& text) { static_cast<void>(Json(text).dump()); }
+
 // Records are arrays of values. With a key for each field, the keys would be most of the bytes.
 
 Json StepToJson(const StepSpec& step) {
@@ -94,6 +98,8 @@
   accepted.queue = QueueFromJson(row.at(1));
   accepted.accepted_at = WallTime(row.at(2).get<std::int64_t>());
   accepted.spec.payload = row.at(3).get<std::string>();
+  CheckUtf8(accepted.id.str());
+  CheckUtf8(accepted.spec.payload);
   accepted.spec.repeat_count = row.at(4).get<std::uint32_t>();
   accepted.spec.start_at = WallTime(row.at(5).get<std::int64_t>());
   accepted.spec.interval = std::chrono::milliseconds(row.at(6).get<std::int64_t>());
@@ -157,6 +163,7 @@
   task.run = row.at(1).get<RunNumber>();
   task.failures = row.at(2).get<std::uint32_t>();
   task.checkpoint = row.at(3).get<std::string>();
+  CheckUtf8(task.checkpoint);
   if (row.size() > 4) {
     const Json& incarnation = targets.at(row.at(4).get<std::size_t>());
     task.incarnation = {TargetId(incarnation.at(0).get<std::string>()),
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -126,6 +126,34 @@
   }
 }
 
+// The owner of a cell would end at its first order for such a record, as would each later owner.
+TEST_CASE("a stored record with text that no order can hold is unreadable", "[odd_entries]") {
+  AcceptedSubmission accepted;
+  accepted.id = SubmissionId("000000000000000a");
+  accepted.spec.payload = "x\xFF";
+  accepted.spec.steps.resize(1);
+  accepted.spec.steps[0].count = 1;
+  if (const auto read = DecodeAccepted(EncodeAccepted(accepted))) {
+    Order order;
+    order.order = StartOrder{*ParseTaskKey("a.0.0.0"), 1, read->spec.payload, TargetTime(5), ""};
+    CHECK_NOTHROW(EncodeOrder(order, 7));
+  }
+  accepted.spec.payload = "x";
+  REQUIRE(DecodeAccepted(EncodeAccepted(accepted)));
+  Submission submission;
+  submission.accepted = accepted;
+  submission.AddOccurrence(0);
+  Task& task = submission.occurrences.at(0).steps.at(0).tasks.at(0);
+  task.run = 1;
+  task.checkpoint = "c";
+  Submission read = submission;
+  REQUIRE(DecodeProgress(EncodeProgress(submission), &read));
+  task.checkpoint = "\xC3";
+  CHECK_FALSE(DecodeProgress(EncodeProgress(submission), &read));
+  accepted.id = SubmissionId("\xFF");
+  CHECK_FALSE(DecodeAccepted(EncodeAccepted(accepted)));
+}
+
 // The id is sent to the target in a header.
 TEST_CASE("an entry whose id no header can hold names no target", "[odd_entries]") {
   const auto decode = [](const std::string& id) {
