--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -19,6 +19,8 @@
   return DecodeTarget("servers/i-1", text);
 }
 
+std::string Nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
+
 // A host that probes such a target before it takes a cell never takes the cell.
 TEST_CASE("an entry with a port that no target can have names no target", "[odd_entries]") {
   REQUIRE(DecodeChanged(":8080", ":65535"));
@@ -29,6 +31,14 @@
   }
 }
 
+TEST_CASE("an entry that is nested too deep names no target", "[odd_entries]") {
+  REQUIRE(DecodeChanged(R"("slots":8)", R"("slots":8,"more":)" + Nested(15)));
+  for (const std::size_t depth : {16U, 100U, 100000U}) {
+    INFO(depth);
+    CHECK_FALSE(DecodeChanged(R"("slots":8)", R"("slots":8,"more":)" + Nested(depth)));
+  }
+}
+
 TEST_CASE("an entry with a number too large names no target", "[odd_entries]") {
   for (const char* number :
        {"1e999", "1e300", "-1e300", "99999999999999999999999", "\"9\"", "[]"}) {
@@ -168,5 +178,20 @@
   }
 }
 
+TEST_CASE("odd values and numbers in a row of the store leave the other rows", "[odd_entries]") {
+  const StoreReply reply = DecodeStoreReply(
+      ReadRange{},
+      Answered(R"({"items":[{"key":"a","value":"W1tb","rev":-1,"created":1e300,"lease":2.5},7,[],)"
+               R"({"key":"b","value":"eA==","rev":4,"more":)" +
+               Nested(13) + R"(},{"key":[],"value":"eA=="}],"storeRevision":6})"));
+  REQUIRE(reply.status == StoreStatus::kOk);
+  REQUIRE(reply.items.size() == 2);
+  CHECK(reply.items[0].value == "[[[");
+  CHECK(reply.items[0].revision == 0);
+  CHECK(reply.items[0].created_revision == 0);
+  CHECK(reply.items[0].lease == 0);
+  CHECK(reply.items[1].revision == 4);
+}
+
 }  // namespace
 }  // namespace pistachio::platform
