Learn no time from a watch that repeats its revision

Change: such a reply is ignored. Evidence: the case 'a watch without changes confirms the revision at the end of its wait' failed with the added check before (REQUIRE_FALSE( clock.TimeOf(5) )) and passes.

--- a/pistachio/connection/store/revision_clock.cc
+++ b/pistachio/connection/store/revision_clock.cc
@@ -21,8 +21,9 @@
   const auto* watch = std::get_if<WatchPrefix>(&call);
   if (watch == nullptr) {
     this->Add({sent_at, reply.revision});
-  } else if (reply.items.empty()) {
-    // The store has answered after the whole wait.
+  } else if (reply.items.empty() && reply.revision != watch->after_revision) {
+    // The store has answered after the whole wait. A revision that is just repeated proves nothing
+    // about the changes since.
     this->Add({std::min(now, sent_at + watch->wait), reply.revision});
   }
 }
--- a/pistachio/connection/store/revision_clock.h
+++ b/pistachio/connection/store/revision_clock.h
@@ -16,7 +16,8 @@
 class RevisionClock {
  public:
   /// \brief Learns from a reply to a call of this host. Ignores replies without a revision, and
-  /// those to watches that report changes, whose revision may be an earlier one.
+  /// those to watches that report changes or repeat the revision asked for, as the revision of the
+  /// store may be a later one.
   /// \param sent_at when the call was sent, or before
   /// \param now when the reply arrived, or before
   void OnReply(const StoreCall& call, const StoreReply& reply, TimePoint sent_at, TimePoint now);
--- a/tests/store/revision_clock_test.cc
+++ b/tests/store/revision_clock_test.cc
@@ -59,6 +59,9 @@
   const WatchPrefix watch{"node/", 5, seconds(1)};
   clock.OnReply(watch, ReplyAt(30), kStart, kStart + milliseconds(1400));
   REQUIRE(clock.TimeOf(30) == kStart + seconds(1));
+  // Guards against times that are too late if the store does not name its own revision.
+  clock.OnReply(watch, ReplyAt(5), kStart + seconds(2), kStart + seconds(4));
+  REQUIRE_FALSE(clock.TimeOf(5));
   StoreReply changes = ReplyAt(40);
   changes.items.push_back(StoreItem{"node/a", "", 33, 33, 0, false});
   clock.OnReply(watch, changes, kStart + seconds(2), kStart + seconds(3));
