--- a/pistachio/process/ownership/cell_ownership_commit.cc
+++ b/pistachio/process/ownership/cell_ownership_commit.cc
@@ -115,6 +115,7 @@
     return;
   }
   Transaction move;
+  state.moving.clear();
   this->AddSequence(batch->number, batch->lease_bounds, &move);
   std::set<CellId> cells_with_condition;
   for (const MoveBatch::Row& row : batch->rows) {
@@ -134,6 +135,9 @@
     move.puts.push_back(
         Put{store_keys::Accepted(row.destination, id), EncodeAccepted(row.accepted), 0});
     move.removals.push_back(store_keys::Accepted(this->cell_id, id));
+    if (!row.begun) {
+      state.moving.emplace_back(row.accepted.queue.id, row.destination);
+    }
   }
   state.open_commit = std::move(move);
   state.commit_number = batch->number;
@@ -203,6 +207,9 @@
   state.open_commit.reset();
   state.cell->ConfirmOwnership(state.commit_sent_at);
   if (state.commit_is_move) {
+    for (const auto& [queue, destination] : state.moving) {
+      state.departures.Add(queue, destination, revision, state.now);
+    }
     state.cell->OnMoved(state.commit_number, revision, state.now);
   } else {
     state.cell->OnCommitted(state.commit_number, state.now);
@@ -238,12 +245,16 @@
   return load;
 }
 
-void CellOwnership::PublishLoad() {
+void CellOwnership::PublishLoad(const ClusterView& view) {
   State& state = *this->state;
   state.next_load_at = state.now + this->settings.load_interval;
   LoadRecord load;
-  load.pending = state.cell->Pending();
-  // Rounds to 100 ms and 0.01, so that small changes cause no write.
+  load.pending = state.cell->CountNotBegun();
+  load.counted_revision = this->inbox->revision();
+  if (!state.departures.empty()) {
+    state.departures.AddTo(ReadCountedRevisions(view, this->other_cells), state.now, &load);
+  }
+  // Rounds to 100 ms and 0.01, which keeps the record short.
   constexpr Duration kBacklogStep = std::chrono::milliseconds(100);
   constexpr double kStepsPerShare = 100.0;
   const CellRoom room = state.cell->Room(state.now);
@@ -258,24 +269,22 @@
       load.forecast = this->RoundedForecast();
     }
   }
-  std::string record = EncodeRecord(load);
-  const bool model_due = state.now >= state.next_model_at;
-  if ((record == state.last_load_record && !model_due) || state.load_in_flight) {
+  if (state.load_in_flight) {
     return;
   }
+  // Written also if nothing has changed: without it, other hosts do not know that nothing has.
   state.load_in_flight = true;
   Transaction write;
   write.preconditions = {{store_keys::Owner(this->cell_id), state.fencing_token}};
-  write.puts = {Put{store_keys::Load(this->cell_id), record, 0}};
-  if (model_due) {
+  write.puts = {Put{store_keys::Load(this->cell_id), EncodeRecord(load), 0}};
+  if (state.now >= state.next_model_at) {
     state.next_model_at = state.now + this->settings.model_interval;
     write.puts.push_back(Put{store_keys::Model(this->cell_id), state.cell->EncodeModel(), 0});
   }
-  const auto on_reply = [this, record, sent_at = state.now](const StoreReply& reply) {
+  const auto on_reply = [this, sent_at = state.now](const StoreReply& reply) {
     State& state = *this->state;
     state.load_in_flight = false;
     if (reply.status == StoreStatus::kOk) {
-      state.last_load_record = record;
       state.cell->ConfirmOwnership(sent_at);
     } else if (reply.status == StoreStatus::kConflict) {
       this->EndOwnership("owner-key-changed");
--- a/pistachio/process/ownership/cluster_view.h
+++ b/pistachio/process/ownership/cluster_view.h
@@ -47,8 +47,8 @@
 
 /// \brief Load of a cell as its owner last published it.
 struct LoadRecord {
-  /// Number of uncancelled submissions of which no task has begun, by queue.
-  std::map<QueueId, std::uint64_t> pending;
+  /// Submissions of which no task is known to have begun, by queue.
+  std::map<QueueId, SubmissionCount> pending;
   Duration backlog{0};  ///< estimated wait of batch work; see Cell::Backlog
   /// CPU that long-running tasks request, as a fraction of that of the ready targets; see
   /// Cell::LongRunningShare.
@@ -58,6 +58,9 @@
   double batch_cpu = 0.0;         ///< CPU that works on the backlog; see Cell::BatchCpu
   FreeSlots free_slots;
   std::optional<ForecastLoad> forecast;  ///< nothing in records of earlier versions
+  /// Store revision up to which `pending` covers all submissions that were accepted into the cell
+  /// or moved there; nothing in records of earlier versions.
+  std::optional<std::uint64_t> counted_revision;
 
   /// \returns the part of the record that the choice of a cell depends on.
   CellRoom Room() const;
--- a/pistachio/process/ownership/unowned_cell.cc
+++ b/pistachio/process/ownership/unowned_cell.cc
@@ -85,6 +85,7 @@
   state.progress.clear();
   state.last_load = view.LoadOf(this->cell).value_or(LoadRecord{});
   state.destinations = ReadDestinations(view, this->other_cells);
+  state.counted_revisions = ReadCountedRevisions(view, this->other_cells);
   this->RecordAbsence();
   this->ReadInboxPage("");
 }
@@ -106,6 +107,9 @@
                       state.reading = false;
                       return;
                     }
+                    if (state.inbox.empty()) {
+                      state.inbox_revision = reply.revision;
+                    }
                     state.inbox.insert(state.inbox.end(), reply.items.begin(), reply.items.end());
                     if (reply.truncated && !reply.items.empty()) {
                       this->ReadInboxPage(reply.items.back().key);
@@ -137,15 +141,34 @@
   });
 }
 
-bool UnownedCell::IsWaiting(const AcceptedSubmission& accepted) const {
+SubmissionCount UnownedCell::Count(const AcceptedSubmission& accepted) const {
   const auto progress = this->state->progress.find(accepted.id);
   if (progress == this->state->progress.end()) {
-    return true;
+    return {1, 0};
   }
   Submission submission;
   submission.accepted = accepted;
-  return DecodeProgress(progress->second, &submission) && !submission.begun &&
-         !submission.AnyTask([](const Task& task) { return task.HoldsResources(); });
+  if (!DecodeProgress(progress->second, &submission) || submission.begun || submission.Ended()) {
+    return {};
+  }
+  // The next owner inherits these tasks, see Cell::CountNotBegun().
+  const bool unconfirmed =
+      submission.AnyTask([](const Task& task) { return task.HoldsResources(); });
+  return unconfirmed ? SubmissionCount{0, 1} : SubmissionCount{1, 0};
+}
+
+void UnownedCell::NoteDepartures() {
+  State& state = *this->state;
+  for (const StoreItem& item : state.inbox) {
+    const auto id =
+        store_keys::StripPrefix(store_keys::InboxSubmissionsPrefix(this->cell), item.key);
+    if (id) {
+      state.moving.erase(SubmissionId(*id));
+    }
+  }
+  for (const auto& [id, departure] : std::exchange(state.moving, {})) {
+    state.departures.Add(departure.first, departure.second, state.inbox_revision, state.now);
+  }
 }
 
 void UnownedCell::OnRead() {
@@ -157,6 +180,7 @@
       cancelled.insert(SubmissionId(*id));
     }
   }
+  this->NoteDepartures();
   const Precondition no_owner{store_keys::Owner(this->cell), 0};
   LoadRecord load = state.last_load;
   load.pending.clear();
@@ -167,10 +191,16 @@
         store_keys::StripPrefix(store_keys::InboxSubmissionsPrefix(this->cell), item.key);
     const bool wanted = id && cancelled.count(SubmissionId(*id)) == 0;
     auto accepted = wanted ? DecodeAccepted(item.value) : std::nullopt;
-    if (!accepted || !this->IsWaiting(*accepted)) {
+    if (!accepted) {
+      continue;
+    }
+    const SubmissionCount count = this->Count(*accepted);
+    SubmissionCount& pending = load.pending[accepted->queue.id];
+    pending.waiting += count.waiting;
+    pending.unconfirmed += count.unconfirmed;
+    if (count.waiting == 0) {
       continue;
     }
-    load.pending[accepted->queue.id]++;
     const bool may_move = accepted->spec.repeat_count == 0 &&
                           state.progress.count(accepted->id) == 0 &&
                           accepted->moves < this->settings.move.max_moves &&
@@ -193,6 +223,7 @@
     move.puts.push_back(
         Put{store_keys::Accepted(destination.cell, accepted->id), EncodeAccepted(*accepted), 0});
     move.removals.push_back(item.key);
+    state.moving[accepted->id] = {accepted->queue.id, destination.cell};
     state.events.push_back({EventCode::kSubmissionMoved,
                             {{"submission", accepted->id.str()},
                              {"from", this->cell.str()},
@@ -202,12 +233,12 @@
   }
   state.inbox.clear();
   state.progress.clear();
-  if (load.pending != state.last_load.pending) {
-    Transaction publish;
-    publish.preconditions = {no_owner};
-    publish.puts = {Put{store_keys::Load(this->cell), EncodeRecord(load), 0}};
-    this->CallStore(publish, [](const StoreReply&) {});
-  }
+  load.counted_revision = state.inbox_revision;
+  state.departures.AddTo(state.counted_revisions, state.now, &load);
+  Transaction publish;
+  publish.preconditions = {no_owner};
+  publish.puts = {Put{store_keys::Load(this->cell), EncodeRecord(load), 0}};
+  this->CallStore(publish, [](const StoreReply&) {});
   if (move.removals.empty()) {
     return;
   }
