Check in the emulator that runs of a cancelled submission end

The emulator's checker reports UNASKED for starts only, so that no test could see a run that goes on. Change: at each tick, RuleChecker::CheckCancelledRuns reports runs that go on for over 3,000 + 900 ms without a fault after an acknowledged cancel. The span begins at the acknowledgement, at the end of the last fault of the store, a host, a target, an order or a connection, or 3 s after a late start. Drains and evacuations are no faults; an answer in doubt (504) is no acknowledgement. The rule for starts is unchanged.

--- a/emulator/fake_target.cc
+++ b/emulator/fake_target.cc
@@ -27,6 +27,7 @@
 
 void FakeTarget::Boot(std::uint64_t incarnation, TimePoint now) {
   this->up = true;
+  this->left = false;
   this->entry.incarnation = incarnation;
   this->entry.state = TargetState::kReady;
   this->booted_at = now;
@@ -51,6 +52,7 @@
 
 void FakeTarget::Leave() {
   this->GoDown();
+  this->left = true;
   this->checker->OnTargetLeft(this->entry.id.str());
 }
 
--- a/emulator/fake_target.h
+++ b/emulator/fake_target.h
@@ -82,6 +82,7 @@
   TargetEntry entry;  ///< registration of the target
   TargetFaults faults;
   bool up = false;
+  bool left = false;              ///< down as planned, after Leave()
   TimePoint drain_enforced_at{};  ///< while draining, starts from this time on break a rule
 
   /// \returns the number of runs.
--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -8,6 +8,10 @@
 
 /// Time after an acknowledged cancel from which no run of the submission may start.
 constexpr Duration kCancelBound = std::chrono::milliseconds(3000);
+/// Time after that within which a run that is stopped must be gone.
+constexpr Duration kStopTimeout = std::chrono::milliseconds(900);
+/// Time after the late start of a run from which its cancel must take effect.
+constexpr Duration kLateStartWindow = std::chrono::milliseconds(3000);
 /// Time after an acceptance from which every host must know the submission id.
 constexpr Duration kVisibleBound = std::chrono::milliseconds(3000);
 /// Time after an acceptance from which every count of waiting submissions must consider it.
@@ -43,6 +47,11 @@
 
 void RuleChecker::OnCancelAcknowledged(const SubmissionId& id, TimePoint now) {
   this->cancelled.emplace(id, now);
+  this->cancel_acks.emplace(id, now);
+}
+
+void RuleChecker::OnCancelInDoubt(const SubmissionId& id, TimePoint now) {
+  this->cancelled.emplace(id, now);
 }
 
 void RuleChecker::OnPendingReported(const std::string& host, std::uint64_t pending, TimePoint now) {
@@ -175,7 +184,7 @@
   }
   for (const auto& [other, other_run] : this->running[name]) {
     std::string overlap = description;
-    overlap += " while run " + std::to_string(other_run) + " is on " + other;
+    overlap += " while run " + std::to_string(other_run.number) + " is on " + other;
     this->AddViolation("TWICE", overlap);
   }
   if (this->acknowledged_done.count(name) != 0) {
@@ -198,7 +207,45 @@
   if (draining && !skip_time_bounds) {
     this->AddViolation("DRAIN", description + ", a draining target");
   }
-  this->running[name][target] = run;
+  this->running[name][target] = RunRecord{run, now};
+}
+
+void RuleChecker::OnLateStart(const TaskKey& task, RunNumber run, const std::string& target,
+                              TimePoint now) {
+  auto& runs_by_target = this->running[task.str()];
+  const auto found = runs_by_target.find(target);
+  if (found != runs_by_target.end() && found->second.number == run &&
+      found->second.started_at == now) {
+    found->second.started_late = true;
+  }
+}
+
+void RuleChecker::CheckCancelledRuns(TimePoint calm_since, TimePoint now) {
+  constexpr Duration kBound = internal::kCancelBound + internal::kStopTimeout;
+  if (now - calm_since <= kBound) {
+    return;
+  }
+  for (const auto& [id, acknowledged_at] : this->cancel_acks) {
+    if (now - acknowledged_at <= kBound) {
+      continue;
+    }
+    for (auto task = this->running.lower_bound(id.str());
+         task != this->running.end() && IsTaskOf(task->first, id); ++task) {
+      for (auto& [target, run] : task->second) {
+        if (run.reported_overdue ||
+            (run.started_late && now - run.started_at <= internal::kLateStartWindow + kBound)) {
+          continue;
+        }
+        run.reported_overdue = true;
+        std::string overdue = task->first;
+        overdue += " run " + std::to_string(run.number) + " goes on on " + target + " " +
+                   std::to_string((now - acknowledged_at).count()) +
+                   " us after the cancel of its submission was acknowledged, without a fault for " +
+                   std::to_string((now - calm_since).count()) + " us";
+        this->AddViolation("UNASKED", overdue);
+      }
+    }
+  }
 }
 
 void RuleChecker::OnEvacuationRequested(const std::string& data_centre, Duration bound,
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -22,6 +22,8 @@
   /// A caller's request was answered as not accepted; ignored after an acceptance.
   void OnRejected(const SubmissionId& id);
   void OnCancelAcknowledged(const SubmissionId& id, TimePoint now);
+  /// A caller's cancel was answered as in doubt, which is no acknowledgement.
+  void OnCancelInDoubt(const SubmissionId& id, TimePoint now);
   /// A caller received the state of a submission.
   void OnStateReported(const SubmissionId& id, SubmissionState state);
   /// A caller received the answer that an id is unknown.
@@ -38,6 +40,14 @@
   void OnStart(const TaskKey& task, RunNumber run, const std::string& target,
                const std::string& payload, const std::string& checkpoint, bool draining,
                bool skip_time_bounds, TimePoint now);
+  /// The order of a start that OnStart() has reported was executed late.
+  void OnLateStart(const TaskKey& task, RunNumber run, const std::string& target, TimePoint now);
+  /// \brief Checks that no run of a cancelled submission goes on longer than the rule UNASKED
+  /// allows; each run is reported once.
+  ///
+  /// \param calm_since end of the last fault of the store, a host, a target, an order or a
+  ///   connection; \a now while there is one. Drains and evacuations are no faults.
+  void CheckCancelledRuns(TimePoint calm_since, TimePoint now);
   /// The operators have requested the evacuation of a data centre. \param bound time after the
   ///   request from which on no run may start there
   void OnEvacuationRequested(const std::string& data_centre, Duration bound, TimePoint now);
@@ -105,6 +115,13 @@
   }
 
  private:
+  /// A run on a target that is up.
+  struct RunRecord {
+    RunNumber number = 0;
+    TimePoint started_at{};
+    bool started_late = false;      ///< the order of its start was executed late
+    bool reported_overdue = false;  ///< CheckCancelledRuns() has reported it
+  };
   struct SubmissionRecord {
     SubmissionSpec spec;
     std::uint32_t max_attempts = 1;
@@ -134,9 +151,11 @@
   std::map<SubmissionId, TimePoint> accepted_ids;  ///< with the time of the first acceptance
   std::set<SubmissionId> rejected_ids;             ///< rejected and never accepted
   std::set<SubmissionId> begun;                    ///< a run of a task has started
-  std::map<SubmissionId, TimePoint> cancelled;     ///< with the time of the first acknowledgement
+  /// With the time of the first acknowledgement or answer in doubt.
+  std::map<SubmissionId, TimePoint> cancelled;
+  std::map<SubmissionId, TimePoint> cancel_acks;  ///< with the time of the first acknowledgement
   std::map<SubmissionId, SubmissionState> reported_states;          ///< last state reported
-  std::map<std::string, std::map<std::string, RunNumber>> running;  ///< by task, then target
+  std::map<std::string, std::map<std::string, RunRecord>> running;  ///< by task, then target
   std::map<std::string, std::uint32_t> failures;  ///< acknowledged failures by task
   std::map<std::string, std::uint32_t> crashes;   ///< crashes of targets under each task
   std::set<std::string> deadly_tasks;
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -117,6 +117,7 @@
       this->CrashIfDue(name);
     }
     this->RecordDisturbances();
+    this->rule_checker.CheckCancelledRuns(this->LastDisturbance(), this->clock_now);
     this->AnswerWaitingCalls();
     if (this->clock_now >= this->next_pending_query) {
       this->next_pending_query = this->clock_now + internal::kPendingQueryInterval;
@@ -159,6 +160,26 @@
       host->disturbed_at = this->clock_now;
     }
   }
+  const OrderFaults& orders = this->order_faults;
+  if (orders.late_probability > 0.0 || !orders.unreachable_pairs.empty() ||
+      orders.send_delay.count() > 0) {
+    this->orders_disturbed_at = this->clock_now;
+  }
+  for (const auto& [name, target] : this->all_targets) {
+    if (target->up ? this->deregistered_targets.count(name) != 0 : !target->left) {
+      this->targets_disturbed_at = this->clock_now;
+    }
+  }
+}
+
+TimePoint SimulatedCluster::LastDisturbance() const {
+  TimePoint last =
+      std::max({this->store_disturbed_at, this->targets_disturbed_at, this->orders_disturbed_at,
+                std::min(this->last_late_order, this->clock_now)});
+  for (const auto& [name, host] : this->all_hosts) {
+    last = std::max(last, host->stopping ? this->clock_now : host->disturbed_at);
+  }
+  return last;
 }
 
 bool SimulatedCluster::IsUndisturbed(const std::string& host) const {
@@ -297,6 +318,7 @@
   host.disturbed_at = this->clock_now;
   host.process_generation++;
   host.frozen = false;
+  host.stopping = false;
   host.deferred_actions.clear();
   HostSettings host_settings;
   host_settings.host = HostId(name);
@@ -319,6 +341,7 @@
 void SimulatedCluster::StopHostGracefully(const std::string& name) {
   if (Host& host = *this->all_hosts.at(name); host.node) {
     host.node->BeginStop();
+    host.stopping = true;
   }
 }
 
@@ -379,6 +402,7 @@
 }
 
 void SimulatedCluster::WriteRegistration(const std::string& name) {
+  this->deregistered_targets.erase(name);
   const std::string value = std::to_string(++this->last_registration);
   this->registered_entries[value] = this->all_targets.at(name)->entry;
   this->store.Write(internal::kTargetPrefix + this->all_targets.at(name)->entry.id.str(), value);
@@ -452,6 +476,7 @@
 
 void SimulatedCluster::BootTarget(const std::string& name) {
   constexpr std::uint64_t kEpoch = 1000000;
+  this->targets_disturbed_at = this->clock_now;
   this->all_targets.at(name)->Boot(
       kEpoch + static_cast<std::uint64_t>(this->clock_now.time_since_epoch().count()),
       this->clock_now);
@@ -467,6 +492,7 @@
 }
 
 void SimulatedCluster::DeregisterTarget(const std::string& name) {
+  this->deregistered_targets.insert(name);
   this->RemoveRegistration(this->all_targets.at(name)->entry.id);
 }
 
@@ -563,8 +589,10 @@
       },
       [this, id](const CallerAnswer& answer) {
         this->answer_counts[answer.outcome]++;
-        if (answer.outcome == Outcome::kCancelled || answer.outcome == Outcome::kInDoubt) {
+        if (answer.outcome == Outcome::kCancelled) {
           this->rule_checker.OnCancelAcknowledged(id, this->clock_now);
+        } else if (answer.outcome == Outcome::kInDoubt) {
+          this->rule_checker.OnCancelInDoubt(id, this->clock_now);
         }
       },
       this->clock_now);
--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -209,6 +209,7 @@
     std::unique_ptr<Node> node;
     std::uint64_t process_generation = 0;  ///< rises when the process starts or is killed
     bool frozen = false;
+    bool stopping = false;     ///< since StopHostGracefully()
     TimePoint disturbed_at{};  ///< last fault of the host or of one of its connections
     std::vector<std::function<void()>> deferred_actions;  ///< events that came while it was frozen
   };
@@ -264,6 +265,9 @@
   /// Sets the time of the last fault to now for the store and for each host that has a fault. Rules
   /// with a time bound apply only to hosts without recent faults.
   void RecordDisturbances();
+  /// \returns the end of the last fault of the store, a host, a target, an order or a connection;
+  ///   now while there is one.
+  TimePoint LastDisturbance() const;
   /// \returns true if the host, its connections and the store had no faults in the last 3 s.
   bool IsUndisturbed(const std::string& host) const;
   /// \returns true if a target that is up has the address and the host can connect to it.
@@ -312,6 +316,10 @@
   TimePoint next_pending_query{};
   RuleChecker rule_checker;
   TimePoint store_disturbed_at{};
+  TimePoint targets_disturbed_at{};            ///< last fault of a target or of its registration
+  TimePoint orders_disturbed_at{};             ///< last fault of the orders
+  TimePoint last_late_order{};                 ///< when the last late order is executed
+  std::set<std::string> deregistered_targets;  ///< names of targets without a registration
   std::vector<std::string> log;
   std::uint64_t latest_version = 0;
   std::uint64_t last_registration = 0;
--- a/emulator/simulated_cluster_calls.cc
+++ b/emulator/simulated_cluster_calls.cc
@@ -143,8 +143,13 @@
                                           FencingToken token, bool late, TimePoint sent_at) {
   FakeTarget& target = *this->all_targets.at(this->TargetNameAt(order.address));
   if (const auto* start = std::get_if<StartOrder>(&order.order)) {
-    return target.Start(*start, order.target, token, late || !this->IsUndisturbed(host), sent_at,
-                        this->clock_now);
+    const OrderReply reply = target.Start(
+        *start, order.target, token, late || !this->IsUndisturbed(host), sent_at, this->clock_now);
+    if (late) {
+      this->rule_checker.OnLateStart(start->task, start->run, target.entry.id.str(),
+                                     this->clock_now);
+    }
+    return reply;
   }
   if (const auto* stop = std::get_if<StopOrder>(&order.order)) {
     return target.Stop(*stop, order.target, token, this->clock_now);
@@ -174,6 +179,7 @@
     delivery_delay =
         internal::kMinLateDelay +
         std::chrono::duration_cast<Duration>(internal::kLateDelayRange * this->RandomFraction());
+    this->last_late_order = std::max(this->last_late_order, sent_at + delivery_delay);
   }
   this->Schedule(sent_at + delivery_delay, [this, host, order, token, late, answer, sent_at] {
     if (!this->CanReach(host, order.address)) {
