Complete a task by a late end while its next start is unsent

Run 3 was assigned and committed, so that the task was in phase starting, and its start waited for current registrations. The first target then listed run 1 as done. CompleteFromLateEnd took only waiting and assigned tasks, so the end had no effect and was acknowledged (21.85 s, sends=0), and run 3 was sent (22.06 s).

Change: Task::IsUnsent tells that a run is assigned whose start was never sent; a late end completes such a task too. Sends are counted when an order is queued, so no start of the run exists. Tasks that an earlier owner assigned are left out, since that owner may have sent the start.

Evidence: "a late end completes a task whose later run was never sent" failed before (phase 2 in place of 5, and a start was sent) and passes. test_scheduling passes (151 cases).

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -142,7 +142,7 @@
     return;
   }
   const StepSpec& spec = submission->Step(end.task.step);
-  const bool no_run = task->phase == TaskPhase::kWaiting || task->phase == TaskPhase::kAssigned;
+  const bool no_run = task->phase == TaskPhase::kWaiting || task->IsUnsent();
   if (!no_run || spec.gang || spec.long_running || submission->Ended()) {
     return;
   }
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -131,6 +131,11 @@
   bool HoldsResources() const {
     return this->phase != TaskPhase::kWaiting && this->phase != TaskPhase::kDone;
   }
+  /// \returns true while a run is assigned that does not exist, since its start was never sent.
+  bool IsUnsent() const {
+    return this->phase == TaskPhase::kAssigned ||
+           (this->phase == TaskPhase::kStarting && this->sends == 0 && !this->inherited);
+  }
 };
 
 /// \brief Tasks of one step in one occurrence.
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -559,6 +559,40 @@
   REQUIRE(fixture.cell.submissions().at(kSubmission).State() == SubmissionState::kCompleted);
 }
 
+TEST_CASE("a late end completes a task whose later run was never sent", "[cell][holds]") {
+  // The start of the later run waits for current registrations.
+  CellFixture fixture;
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), done, fixture.now);
+  fixture.LoseOrdersUntil(fixture.now + seconds(10));
+  REQUIRE(TaskOf(fixture).phase == TaskPhase::kWaiting);
+  fixture.cell.SetRegistrationsCurrent(false);
+  TargetEntry other = fixture.entry;
+  other.id = TargetId("other");
+  other.address = "other:1";
+  fixture.cell.PutTarget(other, fixture.now);
+  fixture.Advance(milliseconds(10));
+  for (const OutgoingOrder& order : std::exchange(fixture.sent, {})) {
+    const bool answers = order.order.target == other.id;
+    fixture.cell.OnHoldReply(order.ticket, answers ? fixture.Reply() : HoldReply{}, fixture.now);
+  }
+  fixture.Advance(seconds(2));
+  REQUIRE(TaskOf(fixture).phase == TaskPhase::kStarting);
+  REQUIRE(TaskOf(fixture).run == 2);
+  HoldReply ended = fixture.Reply();
+  ended.finished.push_back(FinishedRun{1, kTask, 1, RunOutcome::kDone, ""});
+  for (const OutgoingOrder& order : std::exchange(fixture.sent, {})) {
+    if (order.order.target == fixture.entry.id) {
+      fixture.cell.OnHoldReply(order.ticket, ended, fixture.now);
+    }
+  }
+  CHECK(TaskOf(fixture).phase == TaskPhase::kDone);
+  fixture.cell.SetRegistrationsCurrent(true);
+  fixture.Advance(milliseconds(200));
+  CHECK_FALSE(fixture.Take<StartOrder>());
+}
+
 TEST_CASE("a hold extends the lease on a draining target by at most 4 s", "[cell][holds]") {
   CellFixture fixture;
   fixture.PlaceTask();
