Log where a cancel was read and which cancelled runs end late

The logs could not tell apart an owner that did not know of the cancel, stops without an answer and an owner that believed the run over.

- `submission-cancelled` names the store revision of the mark and whether the owner read it in its inbox, as its own request or on loading.
- `stop-late` (new, 3117): runs of cancelled submissions that are still there `stop_timeout` + 1 s after the owner began to stop them, with the number of stops, the age of the target's last answer and its failed holds.
One line at most a second, each submission once.
- `stray-stopped` says what the owner knows of the submission and the task.
- Counters `late_stops` and `orphaned_runs`, also as metrics.

The delay from the mark's write to the owner's reading of it is not logged; the revision allows it to be found in the store's own records only.

--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -334,7 +334,7 @@
   const std::string cancels = store_keys::InboxCancelsPrefix(this->cell_id);
   for (const auto& [key, item] : this->inbox->items()) {
     if (const auto cancelled = store_keys::StripPrefix(cancels, key)) {
-      cell.Cancel(SubmissionId(*cancelled), state.now);
+      cell.Cancel(SubmissionId(*cancelled), {"load", item.revision}, state.now);
       continue;
     }
     const auto id = store_keys::StripPrefix(submissions, key);
@@ -363,7 +363,7 @@
   const auto cancelled =
       store_keys::StripPrefix(store_keys::InboxCancelsPrefix(this->cell_id), item.key);
   if (cancelled) {
-    state.cell->Cancel(SubmissionId(*cancelled), state.now);
+    state.cell->Cancel(SubmissionId(*cancelled), {"inbox", item.revision}, state.now);
     return;
   }
   if (const auto accepted = DecodeAccepted(item.value)) {
--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -53,6 +53,7 @@
   kTaskCleared = 3114,
   kSubmissionLeaves = 3115,
   kSubmissionStays = 3116,
+  kStopLate = 3117,
   kWorkDelayed = 3120,
   kRunPreempted = 3121,
   kTargetListed = 3201,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -6,7 +6,8 @@
   static const std::vector<EventDescription> kEvents = {
       {EventCode::kOrphanedRunStopped, Severity::kWarning, "stray-stopped",
        "A target runs a task that no record places there, for example after a start that was "
-       "carried out late; the run is stopped."},
+       "carried out late; the run is stopped. `state` and `cancelled` tell what the owner knows of "
+       "its submission, `phase`, `latest-run` and `latest-target` of its task."},
       {EventCode::kStartCancelled, Severity::kWarning, "start-barred",
        "A target restarted under the same id while a start sent to the earlier incarnation has no "
        "answer; the new incarnation is ordered to reject that start if it still arrives."},
@@ -30,7 +31,13 @@
        "long ago the run was last known to exist."},
       {EventCode::kSubmissionCancelled, Severity::kInfo, "submission-cancelled",
        "The owner has read the caller's request to cancel a submission and stops what still runs "
-       "of it."},
+       "of it. `from` says where it has read it: in its inbox, as its own request, or when it "
+       "loaded the cell; `revision` is that of the mark in the store."},
+      {EventCode::kStopLate, Severity::kWarning, "stop-late",
+       "Runs of a cancelled submission have not ended in time since the owner began to stop them; "
+       "the fields describe the first of `runs`, and each submission is counted once. With an "
+       "old answer, the target does not answer; with a recent one, its stops get lost or are not "
+       "carried out."},
       {EventCode::kSubmissionFailed, Severity::kWarning, "submission-failed",
        "A task has failed as often as its queue allows, or has crashed the targets that started "
        "it, "
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -100,10 +100,9 @@
       this->RequeueRunsOfReplacedTargets(target.entry, now);
     }
   }
-  const std::set<SubmissionId> cancels = std::move(this->early_cancels);
-  this->early_cancels.clear();
-  for (const SubmissionId& id : cancels) {
-    this->Cancel(id, now);
+  const auto cancels = std::exchange(this->early_cancels, {});
+  for (const auto& [id, source] : cancels) {
+    this->Cancel(id, source, now);
   }
   for (const SubmissionId& id : std::set<SubmissionId>(this->open_submissions)) {
     Submission* submission = this->FindSubmission(id);
@@ -118,17 +117,19 @@
                                      {"targets", std::to_string(this->targets.size())}});
 }
 
-void Cell::Cancel(const SubmissionId& id, TimePoint now) {
+void Cell::Cancel(const SubmissionId& id, const CancelSource& source, TimePoint now) {
   Submission* submission = this->FindSubmission(id);
   if (submission == nullptr || !this->loaded) {
-    this->early_cancels.insert(id);
+    this->early_cancels.emplace(id, source);
     return;
   }
   if (submission->Ended() || submission->cancelled) {
     return;
   }
   submission->cancelled = true;
-  this->Log(EventCode::kSubmissionCancelled, {{"submission", id.str()}});
+  this->Log(EventCode::kSubmissionCancelled, {{"submission", id.str()},
+                                              {"revision", std::to_string(source.revision)},
+                                              {"from", source.from}});
   this->StopAllRuns(submission, StopReason::kCancelled, now);
   this->EndIfFinished(submission);
   this->MarkDirty(id, true);
@@ -154,6 +155,7 @@
   }
   this->SendDueOrders(now);
   this->SendDueHolds(now);
+  this->LogLateStops(now);
   this->LogLoad(now);
 }
 
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -74,7 +74,8 @@
   void Accept(const AcceptedSubmission& accepted, std::uint64_t revision, TimePoint now);
   /// \brief Cancels a submission. A cancel of an unknown submission is kept until `Accept`
   /// adds the submission.
-  void Cancel(const SubmissionId& id, TimePoint now);
+  /// \param source of the information and the store revision of the cancel mark, for the log
+  void Cancel(const SubmissionId& id, const CancelSource& source, TimePoint now);
 
   /// \brief Handles the answer to a start, a stop or a pace order. Unknown tickets are ignored.
   void OnOrderReply(OrderTicket ticket, const OrderReply& reply, TimePoint now);
@@ -471,6 +472,12 @@
   void StopGang(Submission* submission, const TaskKey& key, TimePoint now);
   /// Stops or requeues all tasks of a submission.
   void StopAllRuns(Submission* submission, StopReason reason, TimePoint now);
+  /// Logs that runs of cancelled submissions have not ended in time: one line for all that are
+  /// found late at the same time, and each submission once.
+  void LogLateStops(TimePoint now);
+  /// Adds the tasks of the submission that hold resources to \a holders.
+  static void AddHolders(const Submission& submission,
+                         std::vector<std::pair<TaskKey, const Task*>>* holders);
   /// Ends a submission if all its tasks are done, or if it was cancelled or failed and no task
   /// holds resources.
   void EndIfFinished(Submission* submission);
@@ -637,7 +644,9 @@
   std::map<SubmissionId, Submission> all_submissions;
   std::set<SubmissionId> open_submissions;  ///< submissions that have not ended
   /// Cancels read before their submission or before loading has finished.
-  std::set<SubmissionId> early_cancels;
+  std::map<SubmissionId, CancelSource> early_cancels;
+  /// Cancelled submissions with runs, and when they are logged as late to end.
+  std::map<SubmissionId, TimePoint> ending_cancelled;
   std::map<SubmissionId, SubmissionState> durable_states;  ///< states in the store
   std::deque<SubmissionId> ended_submissions;              ///< oldest first, until deletion
   std::deque<SubmissionId> dirty;    ///< submissions with changes that are in no commit yet
@@ -672,6 +681,7 @@
   TimePoint last_commit_at{};
   TimePoint last_schedule_at{};
   TimePoint next_load_log_at{};
+  TimePoint next_late_stop_log_at{};
   WallTime wall_time{0};  ///< wall clock at the last `Tick`
   bool ticked = false;    ///< `Tick` has been called, so `wall_time` is known
   bool loaded = false;
--- a/pistachio/process/scheduling/cell_arrivals.cc
+++ b/pistachio/process/scheduling/cell_arrivals.cc
@@ -88,8 +88,11 @@
   this->all_submissions.emplace(accepted.id, std::move(submission));
   this->open_submissions.insert(accepted.id);
   this->schedule_due = true;
-  if (this->loaded && this->early_cancels.erase(accepted.id) != 0) {
-    this->Cancel(accepted.id, now);
+  const auto cancel = this->early_cancels.find(accepted.id);
+  if (this->loaded && cancel != this->early_cancels.end()) {
+    const CancelSource source = cancel->second;
+    this->early_cancels.erase(cancel);
+    this->Cancel(accepted.id, source, now);
   }
 }
 
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -355,9 +355,19 @@
   const bool first_stop = next_stop_at == TimePoint{};
   next_stop_at = now + this->settings.stop_timeout;
   if (first_stop) {
-    this->Log(EventCode::kOrphanedRunStopped, {{"task", row.task.str()},
-                                               {"run", std::to_string(row.run)},
-                                               {"target", target->entry.id.str()}});
+    this->counts.orphaned_runs++;
+    Submission* submission = this->FindSubmission(row.task.submission);
+    const Task* task = submission == nullptr ? nullptr : submission->FindTask(row.task);
+    this->Log(EventCode::kOrphanedRunStopped,
+              {{"task", row.task.str()},
+               {"run", std::to_string(row.run)},
+               {"target", target->entry.id.str()},
+               {"born", std::to_string(target->incarnation)},
+               {"state", submission == nullptr ? "unknown" : NameOf(submission->State())},
+               {"cancelled", submission != nullptr && submission->cancelled ? "1" : "0"},
+               {"phase", task == nullptr ? "none" : NameOf(task->phase)},
+               {"latest-run", std::to_string(task == nullptr ? 0 : task->run)},
+               {"latest-target", task == nullptr ? "" : task->incarnation.target.str()}});
   }
   this->EnqueueStop(*target, row.task, row.run, true);
 }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -383,6 +383,10 @@
 }
 
 void Cell::StopAllRuns(Submission* submission, StopReason reason, TimePoint now) {
+  if (submission->cancelled) {
+    this->ending_cancelled.emplace(submission->accepted.id, now + this->settings.stop_timeout +
+                                                                this->settings.late_stop_margin);
+  }
   for (auto& [number, occurrence] : submission->occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
@@ -399,6 +403,60 @@
   this->MarkDirty(submission->accepted.id);
 }
 
+void Cell::LogLateStops(TimePoint now) {
+  if (now < this->next_late_stop_log_at) {
+    return;
+  }
+  this->next_late_stop_log_at = now + this->settings.late_stop_margin;
+  std::vector<std::pair<TaskKey, const Task*>> late;
+  for (auto entry = this->ending_cancelled.begin(); entry != this->ending_cancelled.end();) {
+    const Submission* submission = this->FindSubmission(entry->first);
+    const bool ended = submission == nullptr || submission->Ended();
+    if (!ended && now < entry->second) {
+      ++entry;
+      continue;
+    }
+    entry = this->ending_cancelled.erase(entry);
+    if (!ended) {
+      AddHolders(*submission, &late);
+    }
+  }
+  if (late.empty()) {
+    return;
+  }
+  this->counts.late_stops += late.size();
+  const auto& [key, task] = late.front();
+  const Target* target = this->FindTarget(task->incarnation.target);
+  const bool answered = target != nullptr && target->answered_at != TimePoint{};
+  this->Log(EventCode::kStopLate,
+            {{"task", key.str()},
+             {"run", std::to_string(task->run)},
+             {"target", task->incarnation.target.str()},
+             {"born", std::to_string(task->incarnation.number)},
+             {"phase", NameOf(task->phase)},
+             {"reason", NameOf(task->stop_reason)},
+             {"stopping-ms", MillisecondsText(now - task->phase_since)},
+             {"stops", std::to_string(task->sends)},
+             {"in-flight", task->order_in_flight ? "1" : "0"},
+             {"answer-age-ms", answered ? MillisecondsText(now - target->answered_at) : "none"},
+             {"failed-holds", std::to_string(target == nullptr ? 0 : target->failed_holds)},
+             {"runs", std::to_string(late.size())}});
+}
+
+void Cell::AddHolders(const Submission& submission,
+                      std::vector<std::pair<TaskKey, const Task*>>* holders) {
+  for (const auto& [number, occurrence] : submission.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+        const Task& task = occurrence.steps[step].tasks[index];
+        if (task.HoldsResources()) {
+          holders->emplace_back(TaskKey{submission.accepted.id, number, step, index}, &task);
+        }
+      }
+    }
+  }
+}
+
 void Cell::EndIfFinished(Submission* submission) {
   const SubmissionId& id = submission->accepted.id;
   if (submission->Ended()) {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -121,6 +121,9 @@
   Duration max_commit_time = std::chrono::seconds(3);
   /// Time that a target may take to stop a run. After it, the stop is sent again.
   std::chrono::milliseconds stop_timeout{1000};
+  /// Time beyond `stop_timeout` after which the runs of a cancelled submission are logged as late
+  /// to end. It covers a stop that is sent again once.
+  Duration late_stop_margin = std::chrono::milliseconds(1000);
   /// Time without a run after which a long-running task is scheduled before all other work. The
   /// time counts from when the last run was last known to exist. The task has to run again about 6
   /// s after its last run, and short tasks take a second or two to end and free their resources.
@@ -142,6 +145,12 @@
   WarmupSettings warmup;
 };
 
+/// \brief Where the owner of a cell has learned of a cancel.
+struct CancelSource {
+  const char* from = "inbox";  ///< `inbox`, `own-request` or `load`, as in the log
+  std::uint64_t revision = 0;  ///< store revision of the cancel mark; 0 if it is not known
+};
+
 /// \brief Number that matches an order to its answer, unique within one `Cell`.
 using OrderTicket = std::uint64_t;
 
@@ -203,7 +212,9 @@
   std::uint64_t tasks_given_up = 0;   ///< tasks that crashed too many targets
   std::uint64_t set_aside = 0;  ///< submissions that waited since they could earn nothing any more
   std::uint64_t given_up = 0;   ///< submissions that waited since others were chosen to be in time
-  std::uint64_t preemptions = 0;  ///< runs stopped to free reserved resources
+  std::uint64_t orphaned_runs = 0;  ///< reported runs that no task of the cell accounted for
+  std::uint64_t late_stops = 0;     ///< runs of cancelled submissions logged as late to end
+  std::uint64_t preemptions = 0;    ///< runs stopped to free reserved resources
   /// Declared work of completed tasks that are not long-running, in core-seconds.
   double ended_core_seconds = 0.0;
 };
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -451,7 +451,8 @@
         const bool conflict = reply.status == StoreStatus::kConflict;
         const bool marked = conflict && FindItem(reply, mark).revision != 0;
         if (reply.status == StoreStatus::kOk || marked) {
-          this->OnCancelled(id, cell.cell, caller);
+          const std::uint64_t revision = marked ? FindItem(reply, mark).revision : reply.revision;
+          this->OnCancelled(id, cell.cell, revision, caller);
         } else if (conflict) {
           this->OnCancelConflict(id, cell, attempts, reply, caller);
         } else {
@@ -460,9 +461,10 @@
       });
 }
 
-void RequestHandler::OnCancelled(const SubmissionId& id, const CellId& cell, const Caller& caller) {
+void RequestHandler::OnCancelled(const SubmissionId& id, const CellId& cell, std::uint64_t revision,
+                                 const Caller& caller) {
   if (Cell* owned_cell = this->callbacks.find_owned_cell(cell)) {
-    owned_cell->Cancel(id, this->now);
+    owned_cell->Cancel(id, {"own-request", revision}, this->now);
   }
   caller.done(internal::MakeAnswer(Outcome::kCancelled));
 }
@@ -502,7 +504,7 @@
   this->store.Send(ReadKey{store_keys::CancelMark(cell, id)}, read_deadline,
                    [this, id, cell, reason, caller](const StoreReply& reply, bool /*in_doubt*/) {
                      if (reply.status == StoreStatus::kOk && !reply.items.empty()) {
-                       this->OnCancelled(id, cell, caller);
+                       this->OnCancelled(id, cell, reply.items.front().revision, caller);
                      } else {
                        caller.done(internal::MakeAnswer(Outcome::kInDoubt, reason));
                      }
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -153,7 +153,9 @@
   void SendCancel(const SubmissionId& id, const AssignedCell& cell, std::uint32_t attempts,
                   const Caller& caller);
   /// Records in the owned cell, if this host owns it, and answers that the cancellation is stored.
-  void OnCancelled(const SubmissionId& id, const CellId& cell, const Caller& caller);
+  /// \param revision store revision of the cancel mark
+  void OnCancelled(const SubmissionId& id, const CellId& cell, std::uint64_t revision,
+                   const Caller& caller);
   /// Handles the answer to a cancel that found the submission moved or deleted.
   void OnCancelConflict(const SubmissionId& id, const AssignedCell& cell, std::uint32_t attempts,
                         const StoreReply& reply, const Caller& caller);
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -718,5 +718,56 @@
   REQUIRE(PendingOf(fixture) == 0);
 }
 
+/// \returns the events with \a code since the last call.
+std::vector<EventRecord> EventsOf(CellFixture* fixture, EventCode code) {
+  std::vector<EventRecord> found;
+  for (EventRecord& event : fixture->cell.TakeEvents()) {
+    if (event.code == code) {
+      found.push_back(std::move(event));
+    }
+  }
+  return found;
+}
+
+std::string FieldOf(const EventRecord& event, const std::string& name) {
+  for (const auto& [key, value] : event.fields) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return "";
+}
+
+/// Starts the task and answers the hold after it. \returns that answer, which lists the run.
+HoldReply RunTask(CellFixture* fixture) {
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture->cell.OnOrderReply(fixture->PlaceTask(), done, fixture->now);
+  HoldReply listed = fixture->Reply();
+  listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture->AnswerHold(listed);
+  return listed;
+}
+
+// Without it, the logs show neither whether the owner knew of the cancel nor whether it was heard.
+TEST_CASE("a cancelled run whose stops get no answer is logged once", "[cell][stops]") {
+  CellFixture fixture;
+  RunTask(&fixture);
+  fixture.cell.Cancel(kSubmission, {"inbox", 12}, fixture.now);
+  const std::vector<EventRecord> cancels = EventsOf(&fixture, EventCode::kSubmissionCancelled);
+  REQUIRE(cancels.size() == 1);
+  REQUIRE(FieldOf(cancels[0], "revision") == "12");
+  fixture.LoseOrdersUntil(fixture.now + milliseconds(1900));
+  REQUIRE(EventsOf(&fixture, EventCode::kStopLate).empty());
+  fixture.LoseOrdersUntil(fixture.now + seconds(4));
+  const std::vector<EventRecord> late = EventsOf(&fixture, EventCode::kStopLate);
+  REQUIRE(late.size() == 1);
+  REQUIRE(FieldOf(late[0], "task") == kTask.str());
+  REQUIRE(FieldOf(late[0], "reason") == "cancelled");
+  REQUIRE(FieldOf(late[0], "stops") != "0");
+  REQUIRE(FieldOf(late[0], "failed-holds") != "0");
+  REQUIRE(fixture.cell.counters().late_stops == 1);
+}
+
 }  // namespace
 }  // namespace pistachio
--- a/tests/scheduling/sharing_replay.h
+++ b/tests/scheduling/sharing_replay.h
@@ -205,7 +205,7 @@
       }
     }
     for (const SubmissionId& id : ended) {
-      this->cell.Cancel(id, this->now);
+      this->cell.Cancel(id, {}, this->now);
       this->callers[id].ends = TimePoint::max();
       this->SubmitServing();
     }
