Share the faults of moves and the running cluster between emulator tests

Cause: three files had their own list of faults during moves and their own way to end them, and 36 cases built a cluster and ran it for 2 s. Change: cluster_faults.h has the faults and EndFaults(), cluster_checks.h has RunningCluster. No check, parameter or time changes.

--- a/tests/emulator/busy_store_test.cc
+++ b/tests/emulator/busy_store_test.cc
@@ -49,8 +49,7 @@
 // Guards against callers lost to a store that refuses half of its calls for 4 s: 72 of 261 requests
 // were refused after two attempts, and their callers did not come back.
 TEST_CASE("a busy store refuses no caller that waits", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   cluster.store_faults.refuse_probability = 0.53;
   Answers answers;
   SubmitEvery(&cluster, 1, milliseconds(15), seconds(4), &answers);
@@ -66,8 +65,7 @@
 TEST_CASE("requests wait for the end of a short outage of the store", "[emulator]") {
   for (const bool refuses : {true, false}) {
     CAPTURE(refuses);
-    SimulatedCluster cluster({});
-    cluster.Run(seconds(2));
+    RunningCluster cluster;
     cluster.store_faults.refuses = refuses;
     cluster.store_faults.down = !refuses;
     cluster.Run(milliseconds(1000));
@@ -86,8 +84,7 @@
 // without advice.
 TEST_CASE("a store that refuses everything leaves each caller a true refusal in time",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   cluster.store_faults.refuses = true;
   Answers answers;
   SubmitEvery(&cluster, 1, milliseconds(20), seconds(8), &answers);
@@ -104,8 +101,7 @@
 // Guards against answers 504 after a lost answer of the store: the caller can't safely retry.
 TEST_CASE("a write whose answer was lost is read back within the time that the caller waits",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   cluster.store_faults.lost_answer_probability = 1.0;
   Answers answers;
   SubmitEvery(&cluster, 1, milliseconds(100), seconds(2), &answers);
@@ -120,8 +116,7 @@
 // Load pattern: 60 callers at one host within an outage. Guards against callers that all return in
 // the same second after it.
 TEST_CASE("returns after an outage of the store are spread", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   cluster.store_faults.down = true;
   cluster.Run(seconds(3));
   std::map<seconds, int> returns;
--- a/tests/emulator/cluster_checks.h
+++ b/tests/emulator/cluster_checks.h
@@ -6,6 +6,15 @@
 
 namespace pistachio::emulator {
 
+/// A cluster that has run for 2 s, so that each cell has an owner.
+class RunningCluster : public SimulatedCluster {
+ public:
+  explicit RunningCluster(const SimulatedClusterSettings& settings = {})
+      : SimulatedCluster(settings) {
+    this->Run(std::chrono::seconds(2));
+  }
+};
+
 /// Queries the state of every submission at every host, runs the checker's final checks and
 /// requires that no rule was violated and no submission has failed without cause.
 inline void RequireNoViolations(SimulatedCluster* cluster) {
--- a/tests/emulator/cut_during_move_test.cc
+++ b/tests/emulator/cut_during_move_test.cc
@@ -54,8 +54,7 @@
   CAPTURE(cut_after.count(), static_cast<int>(fate), lapses, targets_cut);
   SimulatedClusterSettings settings;
   settings.targets_per_data_centre = 6;
-  SimulatedCluster cluster(settings);
-  cluster.Run(seconds(2));
+  RunningCluster cluster(settings);
   SubmissionSpec spec = MakeSubmission(1, kWidth, seconds(1));
   spec.steps[0].need.cpu_millis = 3200;
   spec.steps[0].long_running = true;
--- a/tests/emulator/displaced_moves_test.cc
+++ b/tests/emulator/displaced_moves_test.cc
@@ -5,6 +5,7 @@
 
 #include "emulator/simulated_cluster.h"
 #include "tests/emulator/cluster_checks.h"
+#include "tests/emulator/cluster_faults.h"
 
 namespace pistachio::emulator {
 namespace {
@@ -160,56 +161,12 @@
   REQUIRE(loaded->LogLinesContaining("begun=1").empty() == older);
 }
 
-/// Faults while submissions leave, one for each run of the test below.
-enum class Fault {
-  kNone,
-  kKillOwners,
-  kKillOtherOwner,
-  kFreezeOwner,
-  kLoseAnswers,
-  kDelayWrites,
-  kDelayOrders,
-  kStoreDown,
-  kCompact
-};
-
-void ApplyFault(SimulatedCluster* cluster, Fault fault) {
-  switch (fault) {
-    case Fault::kNone:
-      break;
-    case Fault::kKillOwners:
-      cluster->KillHost(cluster->OwnerOf("north"));
-      cluster->KillHost(cluster->OwnerOf("south"));
-      break;
-    case Fault::kKillOtherOwner:
-      cluster->KillHost(cluster->OwnerOf("south"));
-      break;
-    case Fault::kFreezeOwner:
-      cluster->FreezeHost(cluster->OwnerOf("north"));
-      break;
-    case Fault::kLoseAnswers:
-      cluster->store_faults.lost_answer_probability = 0.4;
-      break;
-    case Fault::kDelayWrites:
-      cluster->store_faults.late_write_probability = 0.3;
-      break;
-    case Fault::kDelayOrders:
-      cluster->order_faults.late_probability = 0.3;
-      break;
-    case Fault::kStoreDown:
-      cluster->store_faults.down = true;
-      break;
-    case Fault::kCompact:
-      cluster->store.Compact();
-      break;
-  }
-}
-
 TEST_CASE("displaced submissions are neither lost nor run twice under faults",
           "[emulator][displaced]") {
-  const auto fault = GENERATE(Fault::kNone, Fault::kKillOwners, Fault::kKillOtherOwner,
-                              Fault::kFreezeOwner, Fault::kLoseAnswers, Fault::kDelayWrites,
-                              Fault::kDelayOrders, Fault::kStoreDown, Fault::kCompact);
+  const auto fault =
+      GENERATE(MoveFault::kNone, MoveFault::kKillOwners, MoveFault::kKillOtherOwner,
+               MoveFault::kFreezeOwner, MoveFault::kLoseAnswers, MoveFault::kDelayWrites,
+               MoveFault::kDelayOrders, MoveFault::kStoreDown, MoveFault::kCompact);
   // Counted from the stops: the runs end after some milliseconds, then the move is written.
   const auto fault_after = GENERATE(milliseconds(-1000), milliseconds(1), milliseconds(10),
                                     milliseconds(100), milliseconds(150), milliseconds(400));
@@ -242,14 +199,7 @@
     loaded->Run(milliseconds(10));
   }
   loaded->Run(seconds(4));
-  loaded->store_faults = StoreFaults{};
-  loaded->order_faults = OrderFaults{};
-  loaded->ResumeHost(owner);
-  for (const std::string& host : hosts) {
-    if (loaded->node(host) == nullptr) {
-      loaded->StartHost(host);
-    }
-  }
+  EndFaults(&*loaded, owner);
   loaded->Run(seconds(10));
   // The cancels that got no answer are repeated.
   for (std::size_t number = 0; number < loaded.ids().size(); number += 3) {
--- a/tests/emulator/evacuated_moves_test.cc
+++ b/tests/emulator/evacuated_moves_test.cc
@@ -5,6 +5,7 @@
 
 #include "emulator/simulated_cluster.h"
 #include "tests/emulator/cluster_checks.h"
+#include "tests/emulator/cluster_faults.h"
 
 namespace pistachio::emulator {
 namespace {
@@ -290,64 +291,15 @@
   RequireNoViolations(&*evacuated);
 }
 
-/// Faults while work moves out of an evacuated cell, one for each run of the test below.
-enum class Fault {
-  kNone,
-  kKillOwner,
-  kKillOwners,
-  kFreezeOwner,
-  kStoreDown,
-  kLoseAnswers,
-  kDelayWrites,
-  kDelayOrders,
-  kEnd,
-  kEvacuateAll
-};
-
-void ApplyFault(SimulatedCluster* cluster, Fault fault) {
-  switch (fault) {
-    case Fault::kNone:
-      break;
-    case Fault::kKillOwner:
-      cluster->KillHost(cluster->OwnerOf("north"));
-      break;
-    case Fault::kKillOwners:
-      cluster->KillHost(cluster->OwnerOf("north"));
-      cluster->KillHost(cluster->OwnerOf("south"));
-      break;
-    case Fault::kFreezeOwner:
-      cluster->FreezeHost(cluster->OwnerOf("north"));
-      break;
-    case Fault::kStoreDown:
-      cluster->store_faults.down = true;
-      break;
-    case Fault::kLoseAnswers:
-      cluster->store_faults.lost_answer_probability = 0.4;
-      break;
-    case Fault::kDelayWrites:
-      cluster->store_faults.late_write_probability = 0.3;
-      break;
-    case Fault::kDelayOrders:
-      cluster->order_faults.late_probability = 0.3;
-      break;
-    case Fault::kEnd:
-      cluster->EndEvacuation("north");
-      break;
-    case Fault::kEvacuateAll:
-      cluster->EvacuateDataCentre("south");
-      break;
-  }
-}
-
 // Work that is moved must be neither lost nor run twice if a host, the store or an order fails
 // between the stops, the write of the move and the start in the other cell.
 TEST_CASE("work that leaves an evacuated cell is neither lost nor run twice under faults",
           "[emulator][evacuated_moves]") {
   constexpr std::size_t kWidth = 8;
-  const auto fault =
-      GENERATE(Fault::kNone, Fault::kKillOwner, Fault::kKillOwners, Fault::kFreezeOwner,
-               Fault::kStoreDown, Fault::kLoseAnswers, Fault::kDelayWrites, Fault::kDelayOrders,
-               Fault::kEnd, Fault::kEvacuateAll);
+  const auto fault = GENERATE(
+      MoveFault::kNone, MoveFault::kKillOwner, MoveFault::kKillOwners, MoveFault::kFreezeOwner,
+      MoveFault::kStoreDown, MoveFault::kLoseAnswers, MoveFault::kDelayWrites,
+      MoveFault::kDelayOrders, MoveFault::kEndEvacuation, MoveFault::kEvacuateAll);
   // Counted from the first move of waiting work or, where positive, from the first stops.
   const auto fault_after =
       GENERATE(milliseconds(-1), milliseconds(1), milliseconds(10), milliseconds(120));
@@ -376,14 +328,7 @@
   ApplyFault(&*evacuated, fault);
   evacuated->Cancel("south-host-0", IdOf(lasting[0]));
   evacuated->Run(seconds(5));
-  evacuated->store_faults = StoreFaults{};
-  evacuated->order_faults = OrderFaults{};
-  evacuated->ResumeHost(owner);
-  for (const std::string& host : evacuated->hosts()) {
-    if (evacuated->node(host) == nullptr) {
-      evacuated->StartHost(host);
-    }
-  }
+  EndFaults(&*evacuated, owner);
   evacuated->EndEvacuation("south");
   evacuated->Run(seconds(4));
   // The cancel that got no answer is repeated.
--- a/tests/emulator/faults_test.cc
+++ b/tests/emulator/faults_test.cc
@@ -30,8 +30,7 @@
 }
 
 TEST_CASE("a cluster without faults completes what it accepts", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(10), milliseconds(100));
   cluster.Run(seconds(10));
   RequireNoViolations(&cluster);
@@ -42,8 +41,7 @@
 TEST_CASE("one cell for all data centres fails over without violations", "[emulator]") {
   SimulatedClusterSettings settings;
   settings.layout = CellLayout::kOneCell;
-  SimulatedCluster cluster(settings);
-  cluster.Run(seconds(2));
+  RunningCluster cluster(settings);
   SubmitLoad(&cluster, 1, seconds(3), milliseconds(100));
   cluster.KillHost(cluster.OwnerOf("all"));
   SubmitLoad(&cluster, 100, seconds(5), milliseconds(100));
@@ -54,8 +52,7 @@
 }
 
 TEST_CASE("another host takes over the cell of a killed owner", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(3), milliseconds(100));
   const std::string owner = cluster.OwnerOf("north");
   cluster.KillHost(owner);
@@ -67,8 +64,7 @@
 }
 
 TEST_CASE("submissions complete after all hosts are killed and restarted", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(4), milliseconds(100));
   for (const std::string& host : cluster.hosts()) {
     cluster.KillHost(host);
@@ -85,8 +81,7 @@
 }
 
 TEST_CASE("a frozen owner that resumes starts nothing with its old fencing token", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   const std::string owner = cluster.OwnerOf("north");
   cluster.FreezeHost(owner);
@@ -101,8 +96,7 @@
   for (const std::uint64_t seed : {1, 2, 3}) {
     SimulatedClusterSettings settings;
     settings.seed = seed;
-    SimulatedCluster cluster(settings);
-    cluster.Run(seconds(2));
+    RunningCluster cluster(settings);
     cluster.order_faults.late_probability = 0.1;
     SubmitLoad(&cluster, 1, seconds(6), milliseconds(100));
     cluster.KillHost(cluster.OwnerOf("north"));
@@ -117,8 +111,7 @@
   for (const std::uint64_t seed : {1, 2, 3}) {
     SimulatedClusterSettings settings;
     settings.seed = seed;
-    SimulatedCluster cluster(settings);
-    cluster.Run(seconds(2));
+    RunningCluster cluster(settings);
     cluster.store_faults.lost_answer_probability = 0.3;
     SubmitLoad(&cluster, 1, seconds(4), milliseconds(100));
     cluster.store_faults.lost_answer_probability = 0.0;
@@ -132,8 +125,7 @@
 
 TEST_CASE("a store outage stops no running task", "[emulator]") {
   for (const bool leases_pause : {true, false}) {
-    SimulatedCluster cluster({});
-    cluster.Run(seconds(2));
+    RunningCluster cluster;
     SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
     cluster.store_faults.down = true;
     cluster.store_faults.leases_pause = leases_pause;
@@ -148,8 +140,7 @@
 // Guards against a retry storm: during a store outage all callers submit and retry a few times.
 TEST_CASE("during a store outage callers are refused at once with growing retry delays",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   cluster.store_faults.down = true;
   cluster.Run(seconds(3));
   std::vector<seconds> retry_delays;
@@ -178,8 +169,7 @@
       GENERATE(std::make_pair(seconds(1), Outcome::kAccepted),
                std::make_pair(seconds(4), Outcome::kInDoubt));
   CAPTURE(rest_of_outage.count());
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   const std::string host = cluster.hosts()[0];
   std::vector<Outcome> outcomes;
   const auto submit = [&] {
@@ -203,8 +193,7 @@
 
 TEST_CASE("an owner that loses its keys without notice is replaced without a double run",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   const std::string owner = cluster.OwnerOf("north");
   cluster.store_faults.disconnected_hosts.insert(owner);
@@ -218,8 +207,7 @@
 
 TEST_CASE("crashed, restarted and unreachable targets lose no task and run none twice",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   cluster.CrashTarget("north-target-0");
   cluster.DeregisterTarget("north-target-0");
@@ -238,8 +226,7 @@
 
 TEST_CASE("runs of a permanently lost target start elsewhere after their hold has lapsed",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmissionSpec long_running_submission = MakeSubmission(1, 8, seconds(1));
   long_running_submission.steps[0].long_running = true;
   for (int number = 1; number <= 4; ++number) {
@@ -270,8 +257,7 @@
 TEST_CASE(
     "a new owner starts runs of an unreachable target elsewhere only after its hold has lapsed",
     "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(3), milliseconds(60));
   const std::string owner = cluster.OwnerOf("north");
   for (const std::string& host : cluster.hosts()) {
@@ -289,8 +275,7 @@
 
 TEST_CASE("a start that reaches a restarted target with the same id runs once", "[emulator]") {
   for (int restart_delay = 0; restart_delay < 30; ++restart_delay) {
-    SimulatedCluster cluster({});
-    cluster.Run(seconds(2));
+    RunningCluster cluster;
     for (int number = 1; number <= 6; ++number) {
       cluster.Submit(cluster.hosts()[0], IdOf(number), MakeSubmission(2, 6, milliseconds(700)));
     }
@@ -306,8 +291,7 @@
 }
 
 TEST_CASE("a new owner keeps extending the hold of a deregistered target", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   for (int number = 1; number <= 8; ++number) {
     cluster.Submit("north-host-0", IdOf(number), MakeSubmission(1, 2, seconds(9)));
   }
@@ -328,8 +312,7 @@
           "[emulator]") {
   SimulatedClusterSettings settings;
   settings.layout = CellLayout::kOneCell;
-  SimulatedCluster cluster(settings);
-  cluster.Run(seconds(2));
+  RunningCluster cluster(settings);
   SubmissionSpec long_running_submission = MakeSubmission(1, 8, seconds(1));
   long_running_submission.steps[0].need = Resources{10000, 1000, 0};
   long_running_submission.steps[0].long_running = true;
@@ -356,8 +339,7 @@
 }
 
 TEST_CASE("a draining target gets no new runs and its tasks continue elsewhere", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   cluster.DrainTarget("north-target-0", milliseconds(3000));
   SubmitLoad(&cluster, 100, seconds(5), milliseconds(100));
@@ -368,8 +350,7 @@
 
 TEST_CASE("a cancelled submission ends, also when the owner changes at the same time",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   const std::vector<std::string> hosts = cluster.hosts();
   for (int number = 1; number <= 20; ++number) {
     cluster.Submit(hosts[number % hosts.size()], IdOf(number), MakeSubmission(2, 3, seconds(3)));
@@ -392,8 +373,7 @@
 
 TEST_CASE("a submission whose tasks always fail ends as failed after its last attempt",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   FakeTarget::Workload workload;
   workload.fails = true;
   workload.length = milliseconds(200);
@@ -412,8 +392,7 @@
 TEST_CASE("a target that fails or stalls all its runs does not block submissions", "[emulator]") {
   SimulatedClusterSettings settings;
   settings.max_attempts = 4;
-  SimulatedCluster cluster(settings);
-  cluster.Run(seconds(2));
+  RunningCluster cluster(settings);
   cluster.target("north-target-0").faults.fails_all = true;
   cluster.target("south-target-0").faults.stalls_all = true;
   SubmitLoad(&cluster, 1, seconds(5), milliseconds(100));
@@ -424,8 +403,7 @@
 }
 
 TEST_CASE("a host that stops gracefully releases its cells at once", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   const std::string owner = cluster.OwnerOf("north");
   cluster.StopHostGracefully(owner);
@@ -438,8 +416,7 @@
 }
 
 TEST_CASE("hosts read the configuration again after the store compacts its history", "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   cluster.PutConfiguration("queue", "/queue/");
   cluster.store.Compact();
@@ -454,8 +431,7 @@
 
 TEST_CASE("another data centre owns the cell of one without hosts and returns it later",
           "[emulator]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
   cluster.KillHost("north-host-0");
   cluster.KillHost("north-host-1");
--- a/tests/emulator/moves_test.cc
+++ b/tests/emulator/moves_test.cc
@@ -3,6 +3,7 @@
 #include "emulator/simulated_cluster.h"
 #include "pistachio/process/runtime/random.h"
 #include "tests/emulator/cluster_checks.h"
+#include "tests/emulator/cluster_faults.h"
 
 namespace pistachio::emulator {
 namespace {
@@ -36,8 +37,7 @@
 // cell has 64 cores, and the submissions need 80.
 TEST_CASE("submissions that overfill a cell at a cold start move to a cell with room",
           "[emulator][moves]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   const std::vector<SubmissionId> ids = IdsOfOneCell(20);
   const std::vector<std::string> hosts = cluster.hosts();
   for (std::size_t number = 0; number < ids.size(); ++number) {
@@ -56,8 +56,7 @@
 }
 
 TEST_CASE("submissions stay in a full cell while an older host is alive", "[emulator][moves]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   // The record of a host of the version before moves has four fields.
   const std::string record = EncodeRecord(MemberRecord{HostId("old"), DataCentreId("north")});
   std::string old_record = record.substr(0, record.size() - 1);
@@ -196,8 +195,7 @@
 // Best-effort tasks that never end take all processors that best-effort tasks may use.
 TEST_CASE("best-effort work is done beside long-running best-effort tasks",
           "[emulator][.known-red]") {
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   int number = 1;
   for (; number <= 8; ++number) {
     SubmissionSpec spec = MakeSubmission(1, 6, seconds(1));
@@ -215,41 +213,14 @@
   RequireNoViolations(&cluster);
 }
 
-/// Faults while submissions move, one for each run of the test below.
-enum class Fault { kKillOwners, kFreezeOwner, kLoseAnswers, kDelayWrites, kStoreDown, kCompact };
-
-void ApplyFault(SimulatedCluster* cluster, Fault fault, const std::string& owner) {
-  switch (fault) {
-    case Fault::kKillOwners:
-      cluster->KillHost(cluster->OwnerOf("north"));
-      cluster->KillHost(cluster->OwnerOf("south"));
-      break;
-    case Fault::kFreezeOwner:
-      cluster->FreezeHost(owner);
-      break;
-    case Fault::kLoseAnswers:
-      cluster->store_faults.lost_answer_probability = 0.4;
-      break;
-    case Fault::kDelayWrites:
-      cluster->store_faults.late_write_probability = 0.3;
-      break;
-    case Fault::kStoreDown:
-      cluster->store_faults.down = true;
-      break;
-    case Fault::kCompact:
-      cluster->store.Compact();
-      break;
-  }
-}
-
 TEST_CASE("moved submissions are neither lost nor run twice under faults", "[emulator][moves]") {
-  const auto fault = GENERATE(Fault::kKillOwners, Fault::kFreezeOwner, Fault::kLoseAnswers,
-                              Fault::kDelayWrites, Fault::kStoreDown, Fault::kCompact);
+  const auto fault =
+      GENERATE(MoveFault::kKillOwners, MoveFault::kFreezeOwner, MoveFault::kLoseAnswers,
+               MoveFault::kDelayWrites, MoveFault::kStoreDown, MoveFault::kCompact);
   // The first moves are written about 1 s after the submissions.
   const auto fault_after = GENERATE(milliseconds(980), milliseconds(1003), milliseconds(1100));
   CAPTURE(static_cast<int>(fault), fault_after.count());
-  SimulatedCluster cluster({});
-  cluster.Run(seconds(2));
+  RunningCluster cluster;
   const std::vector<SubmissionId> ids = IdsOfOneCell(24);
   const std::vector<std::string> hosts = cluster.hosts();
   const auto submit_to = [&](std::size_t number) { return hosts[number % hosts.size()]; };
@@ -258,7 +229,7 @@
   }
   cluster.Run(fault_after);
   const std::string owner = cluster.OwnerOf("north");
-  ApplyFault(&cluster, fault, owner);
+  ApplyFault(&cluster, fault);
   // Cancels and queries at hosts that remember the cell from before the move.
   for (std::size_t number = 0; number < ids.size(); number += 3) {
     cluster.Cancel(submit_to(number), ids[number]);
@@ -266,13 +237,7 @@
     cluster.Run(milliseconds(40));
   }
   cluster.Run(seconds(4));
-  cluster.store_faults = StoreFaults{};
-  cluster.ResumeHost(owner);
-  for (const std::string& host : hosts) {
-    if (cluster.node(host) == nullptr) {
-      cluster.StartHost(host);
-    }
-  }
+  EndFaults(&cluster, owner);
   cluster.Run(seconds(10));
   // The cancels that got no answer are repeated.
   for (std::size_t number = 0; number < ids.size(); number += 3) {
--- a/tests/emulator/owner_changes_test.cc
+++ b/tests/emulator/owner_changes_test.cc
@@ -143,8 +143,7 @@
   for (int number = 0; number < 60; ++number) {
     SimulatedClusterSettings settings;
     settings.layout = CellLayout::kOneCell;
-    SimulatedCluster cluster(settings);
-    cluster.Run(seconds(2));
+    RunningCluster cluster(settings);
     SubmissionSpec spec = MakeSubmission(1, 1, seconds(1));
     spec.steps[0].long_running = true;
     cluster.Submit("north-host-0", kLongRunning, spec);
--- a/tests/emulator/restarted_targets_test.cc
+++ b/tests/emulator/restarted_targets_test.cc
@@ -18,8 +18,7 @@
   for (const std::uint64_t seed : {1, 3, 7, 9}) {
     SimulatedClusterSettings settings;
     settings.seed = seed;
-    SimulatedCluster cluster(settings);
-    cluster.Run(seconds(2));
+    RunningCluster cluster(settings);
     cluster.order_faults.late_probability = 0.1;
     for (int number = 1; number <= 20; ++number) {
       SubmissionSpec spec = MakeSubmission(1, 4, seconds(12));
