Repeat lost stops of runs that no task accounts for

What callers see: a run of a cancelled submission that turns up late (no task of the cell accounts for it) goes on if the first stop gets no answer.

Cause: such a stop was repeated only when a later list of the target showed the run again, at the earliest 1 s after the stop. The list may come after a long poll of 1 s. A target without a registration and without tasks got no further hold, so its run lasted until its lease expired.

Change: the cell keeps the number of such a run and repeats its stop by itself, 0.1 s after a failed one and 1.4 s after an accepted one, until a list doesn't contain the run. Unregistered targets with such runs get holds.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -368,6 +368,8 @@
   /// \returns true if a target has reported a run of the task that no task accounts for and that
   ///   has not ended yet. No other run of the task may start meanwhile.
   bool HasOrphanedRun(const TaskKey& key) const;
+  /// Sends the stops that are due to the orphaned runs of the target.
+  void StopOrphanedRuns(Target* target, TimePoint now);
   /// Stops a reported run that no task of the cell accounts for.
   void StopOrphanedRun(Target* target, const RunningRun& row, TimePoint now);
   /// Records the progress of a reported run, and moves a run that stalls or is too slow.
--- a/pistachio/process/scheduling/cell_displaced_moves.cc
+++ b/pistachio/process/scheduling/cell_displaced_moves.cc
@@ -92,7 +92,7 @@
         unsettled.insert(run.first.submission);
       }
     }
-    for (const auto& [key, next_stop_at] : target.orphaned_runs) {
+    for (const auto& [key, orphaned_run] : target.orphaned_runs) {
       unsettled.insert(key.submission);
     }
   }
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -348,13 +348,10 @@
 }
 
 void Cell::StopOrphanedRun(Target* target, const RunningRun& row, TimePoint now) {
-  TimePoint& next_stop_at = target->orphaned_runs[row.task];
-  if (now < next_stop_at) {
-    return;
-  }
-  const bool first_stop = next_stop_at == TimePoint{};
-  next_stop_at = now + this->settings.stop_timeout;
+  internal::OrphanedRun& orphaned_run = target->orphaned_runs[row.task];
+  const bool first_stop = orphaned_run.run != row.run;
   if (first_stop) {
+    orphaned_run = internal::OrphanedRun{row.run, now};
     this->counts.orphaned_runs++;
     Submission* submission = this->FindSubmission(row.task.submission);
     const Task* task = submission == nullptr ? nullptr : submission->FindTask(row.task);
@@ -369,7 +366,16 @@
                {"latest-run", std::to_string(task == nullptr ? 0 : task->run)},
                {"latest-target", task == nullptr ? "" : task->incarnation.target.str()}});
   }
-  this->EnqueueStop(*target, row.task, row.run, true);
+  this->StopOrphanedRuns(target, now);
+}
+
+void Cell::StopOrphanedRuns(Target* target, TimePoint now) {
+  for (auto& [key, orphaned_run] : target->orphaned_runs) {
+    if (now >= orphaned_run.next_stop_at) {
+      orphaned_run.next_stop_at = now + this->settings.stop_timeout + this->settings.order_timeout;
+      this->EnqueueStop(*target, key, orphaned_run.run, true);
+    }
+  }
 }
 
 }  // namespace pistachio
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -115,7 +115,7 @@
   this->ReleaseKeptTargets(now);
   this->orphaned_tasks.clear();
   for (const auto& [id, target] : this->targets) {
-    for (const auto& [key, next_stop_at] : target.orphaned_runs) {
+    for (const auto& [key, orphaned_run] : target.orphaned_runs) {
       this->orphaned_tasks.insert(key);
     }
   }
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -441,6 +441,7 @@
 void Cell::SendDueHolds(TimePoint now) {
   for (auto& [id, target] : this->targets) {
     this->CancelUnconfirmedStarts(id, &target, now);
+    this->StopOrphanedRuns(&target, now);
     if (target.hold_in_flight || target.entry.address.empty() || now < target.next_hold_at) {
       continue;
     }
@@ -449,7 +450,8 @@
     const bool needed = !target.tasks.empty() || !target.reconciled || clock_outdated ||
                         target.last_seen_end > target.last_acked_end ||
                         !target.orphaned_runs.empty();
-    if (needed && (target.registered || !target.tasks.empty())) {
+    const bool may_run = !target.tasks.empty() || !target.orphaned_runs.empty();
+    if (needed && (target.registered || may_run)) {
       this->SendHold(&target, now);
     }
   }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -294,6 +294,13 @@
     unconfirmed->second.cancel_at = TimePoint::max();
     unconfirmed->second.refused = true;
   }
+  const auto orphaned_run = target->orphaned_runs.find(sent.task);
+  const bool is_orphaned = sent.orphaned_run && orphaned_run != target->orphaned_runs.end() &&
+                           orphaned_run->second.run == sent.run;
+  if (is_orphaned && !stop_accepted) {
+    // The target's next list may come only after a long poll.
+    orphaned_run->second.next_stop_at = now + this->settings.order_retry_delay;
+  }
   Submission* submission = this->FindSubmission(sent.task.submission);
   Task* task =
       submission == nullptr || sent.orphaned_run ? nullptr : submission->FindTask(sent.task);
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -248,6 +248,12 @@
   bool refused = false;
 };
 
+/// A run that a target has reported and that no task of the cell accounts for.
+struct OrphanedRun {
+  RunNumber run = 0;
+  TimePoint next_stop_at{};  ///< earliest time of the next stop
+};
+
 /// What the owner of the cell knows of one target.
 ///
 /// Each restart of a target begins a new incarnation, which knows nothing of the runs before.
@@ -293,8 +299,7 @@
   Resources long_running_used;  ///< resources in `load.used` requested by long-running tasks
   std::set<TaskKey> tasks;      ///< tasks that hold resources on the target
   std::map<std::pair<TaskKey, RunNumber>, UnconfirmedStart> unconfirmed_starts;
-  /// Reported runs that no task of the cell accounts for, with the earliest time of the next stop.
-  std::map<TaskKey, TimePoint> orphaned_runs;
+  std::map<TaskKey, OrphanedRun> orphaned_runs;
   TargetHealth health;
   ColdTime cold_time;
   /// Most runs in this scheduling round; nothing for a warm target, which has no limit.
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -769,5 +769,34 @@
   REQUIRE(fixture.cell.counters().late_stops == 1);
 }
 
+// Its first stop is lost and the target's lists come late, as its holds wait for an end.
+TEST_CASE("a lost stop of a run that no record places is sent again", "[cell][stops]") {
+  CellFixture fixture;
+  fixture.Advance(milliseconds(1));
+  HoldReply listed = fixture.Reply();
+  listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.AnswerHold(listed);
+  const bool registered = GENERATE(true, false);
+  if (!registered) {
+    fixture.cell.RemoveTarget(fixture.entry.id, fixture.now);
+  }
+  fixture.Advance(milliseconds(1));
+  const auto lost = fixture.Take<StopOrder>();
+  REQUIRE(lost);
+  fixture.now += milliseconds(400);
+  fixture.cell.OnOrderReply(lost->first, OrderReply{}, fixture.now);
+  fixture.Advance(milliseconds(110));
+  const auto again = fixture.Take<StopOrder>();
+  REQUIRE(again);
+  REQUIRE(again->second.run == 1);
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(again->first, done, fixture.now);
+  fixture.Advance(milliseconds(200));
+  REQUIRE_FALSE(fixture.Take<StopOrder>());
+  // A list without the run is what shows that it has ended.
+  REQUIRE(fixture.Take<HoldOrder>());
+}
+
 }  // namespace
 }  // namespace pistachio
