Ask a target again before an overdue hold times out

Callers saw runs of live targets given up and cancelled runs go on for seconds: with 0.3 of the answers to holds lost, an owner learned nothing from a target for up to 10.6 s. Each hold was awaited until its timeout (1.7 s, then 2 s and 0.3 s a try), and only the answer to the last hold counted. Until then ends were not seen and holds carried no deadline.

A hold whose long poll is over for 0.3 s is now followed by further ones, each 0.3 s, and each 1 s after five without an answer. They carry no deadline and no acknowledgement and have no long poll, so the lease of a silent target ends no later: a hold carries a deadline only after an answer, as before. Each answered hold counts if both its number and the target's clock are not older than those of the last lists. The timeout of a hold before the last answer is no sign of silence.

--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -67,6 +67,10 @@
 struct OrderFaults {
   /// Probability, from 0 to 1, that an order is executed 2 to 12 s late and not answered.
   double late_probability = 0.0;
+  /// Probability, from 0 to 1, that a hold is executed and not answered. Every other one of these
+  /// is executed 2 to 12 s late.
+  double lost_hold_probability = 0.0;
+  Duration hold_answer_delay{0};  ///< added to the answer of each hold
   /// Pairs of a host and a target that cannot reach each other.
   std::set<std::pair<std::string, std::string>> unreachable_pairs;
   /// Time from the decision to send an order until it is sent, as on a host that is suspended in
@@ -255,7 +259,8 @@
   /// \a callback receives `kNoAnswer` at the timeout.
   void SendOrder(const std::string& host, const Order& order, FencingToken token,
                  const std::function<void(const OrderReply&)>& callback);
-  /// Sends a hold order; `OrderFaults::late_probability` does not apply to it.
+  /// Sends a hold order. `OrderFaults::late_probability` does not apply to it,
+  /// `OrderFaults::lost_hold_probability` does.
   void SendHold(const std::string& host, const Order& order, FencingToken token,
                 const std::function<void(const HoldReply&)>& callback);
   /// Executes a start, stop or pace order on its target. \pre a target has the order's address
--- a/emulator/simulated_cluster_calls.cc
+++ b/emulator/simulated_cluster_calls.cc
@@ -198,7 +198,17 @@
     }
   };
   this->Schedule(this->clock_now + order.timeout, [answer] { answer(HoldReply{}); });
-  this->Schedule(this->clock_now + this->settings.delay, [this, host, order, token, answer] {
+  // Without such faults, no random number is drawn: the other draws of a seed stay the same.
+  const double lost_probability = this->order_faults.lost_hold_probability;
+  const double draw = lost_probability > 0 ? this->RandomFraction() : 1.0;
+  const bool lost = draw < lost_probability;
+  Duration delivery_delay = this->settings.delay;
+  if (draw < lost_probability / 2) {
+    delivery_delay =
+        internal::kMinLateDelay +
+        std::chrono::duration_cast<Duration>(internal::kLateDelayRange * this->RandomFraction());
+  }
+  this->Schedule(this->clock_now + delivery_delay, [this, host, order, token, lost, answer] {
     if (!this->CanReach(host, order.address)) {
       return;
     }
@@ -206,9 +216,11 @@
     FakeTarget& target = *this->all_targets.at(name);
     const HoldOrder& hold = std::get<HoldOrder>(order.order);
     const HoldReply immediate_reply = target.Hold(hold, order.target, token, this->clock_now);
-    const auto deliver = [this, host, order, answer](const HoldReply& reply) {
-      if (this->CanReach(host, order.address)) {
-        this->Schedule(this->clock_now + this->settings.delay, [answer, reply] { answer(reply); });
+    const auto deliver = [this, host, order, lost, answer](const HoldReply& reply) {
+      if (!lost && this->CanReach(host, order.address)) {
+        this->Schedule(
+            this->clock_now + this->settings.delay + this->order_faults.hold_answer_delay,
+            [answer, reply] { answer(reply); });
       }
     };
     const bool must_wait = immediate_reply.status == OrderStatus::kDone && hold.wait.count() > 0 &&
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -78,7 +78,8 @@
 
   /// \brief Handles the answer to a start, a stop or a pace order. Unknown tickets are ignored.
   void OnOrderReply(OrderTicket ticket, const OrderReply& reply, TimePoint now);
-  /// \brief Handles the answer to a hold. Answers to any but the target's last hold are ignored.
+  /// \brief Handles the answer to a hold. Several holds to a target may be in flight; lists that
+  /// are older than those of an earlier answer are ignored.
   void OnHoldReply(OrderTicket ticket, const HoldReply& reply, TimePoint now);
 
   /// \brief Schedules tasks and enqueues the orders that are due.
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -7,11 +7,13 @@
 void Cell::OnHoldReply(OrderTicket ticket, const HoldReply& reply, TimePoint now) {
   const auto found = this->TakeSentOrder(ticket);
   Target* target = found ? this->FindTarget(found->target) : nullptr;
-  if (target == nullptr || found->hold_number != target->holds_sent) {
+  if (target == nullptr) {
     return;
   }
   const internal::SentOrder& sent = *found;
-  target->hold_in_flight = false;
+  target->open_holds--;
+  const bool is_last = sent.hold_number == target->holds_sent;
+  target->hold_in_flight = target->hold_in_flight && !is_last;
   if (reply.status == OrderStatus::kFenced) {
     this->is_fenced = true;
     target->next_hold_at = now + this->settings.hold_retry_delay;
@@ -26,11 +28,14 @@
     return;
   }
   if (reply.status != OrderStatus::kDone) {
+    this->NoteDeadline(target, sent, reply.status, now);
+    if (sent.hold_number < target->first_open_hold) {
+      return;  // The target has answered since.
+    }
     if (target->failed_holds == 0) {
       target->silent_since = now;
       target->loss_recorded = false;
     }
-    this->NoteDeadline(target, sent, reply.status, now);
     target->failed_holds++;
     target->next_hold_at = now + this->settings.hold_retry_delay;
     if (target->failed_holds == this->settings.health.max_failed_holds) {
@@ -48,15 +53,29 @@
     return;
   }
   this->NoteDeadline(target, sent, reply.status, now);
-  if (target->failed_holds >= this->settings.health.max_failed_holds) {
+  target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
+  // Answers may overtake each other, and so may the holds. Older lists lack later runs and ends.
+  const bool outdated = sent.hold_number < target->last_listed_hold ||
+                        (reply.clock && target->listed_at && *reply.clock < *target->listed_at);
+  if (outdated) {
+    return;
+  }
+  target->last_listed_hold = sent.hold_number;
+  target->listed_at = reply.clock;
+  const bool newest = sent.hold_number >= target->first_open_hold;
+  if (newest) {
+    target->hold_in_flight = false;
+    target->unanswered_holds = 0;
+    target->first_open_hold = target->holds_sent + 1;
+  }
+  if (newest && target->failed_holds >= this->settings.health.max_failed_holds) {
     this->Log(EventCode::kTargetAnswers,
               {{"cell", this->cell_id.str()}, {"target", target->entry.id.str()}});
     this->schedule_due = true;
   }
-  target->failed_holds = 0;
+  target->failed_holds = newest ? 0 : target->failed_holds;
   target->answered = true;
   this->unproven_crashes.erase(target->entry.address);
-  target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
   this->UpdateClock(target, reply.clock, now);
   const bool complete = reply.finished.size() < kMaxFinishedPerReply;
   if (!target->reconciled && complete) {
@@ -79,7 +98,9 @@
   this->AdjustPaces(target, now);
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
   const bool waits_for_store = uncommitted || this->HasLeaseBound(target->entry.id);
-  target->next_hold_at = waits_for_store ? now + this->settings.uncommitted_poll_interval : now;
+  if (newest) {
+    target->next_hold_at = waits_for_store ? now + this->settings.uncommitted_poll_interval : now;
+  }
 }
 
 void Cell::HandleFinishedRun(Target* target, const FinishedRun& end, TimePoint now) {
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -185,7 +185,7 @@
       target.orphaned_runs.clear();
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
-        !target.hold_in_flight && now >= target.lease_expires_at) {
+        target.open_holds == 0 && now >= target.lease_expires_at) {
       removable.push_back(id);
     }
   }
@@ -239,6 +239,7 @@
 void Cell::ForgetClock(Target* target) {
   target->clock.reset();
   target->lease_deadline.reset();
+  target->listed_at.reset();
 }
 
 TimePoint Cell::LeaseExpiry(TimePoint arrival, Duration lease) const {
@@ -325,24 +326,27 @@
 
 void Cell::SendHold(Target* target, TimePoint now) {
   HoldOrder hold;
+  // A further hold while others are in flight only asks for the lists.
+  const bool further = target->hold_in_flight;
   // ExtendLease() moves `lease_expires_at` before the hold is answered, because the target may
   // extend its lease although its answer gets lost. After a failed hold, further holds carry no
   // deadline until one succeeds. Otherwise the lease of a silent target would never count as
   // expired.
-  if (target->failed_holds == 0) {
+  if (target->failed_holds == 0 && !further) {
     hold.deadline = this->ExtendLease(target, now);
   }
   // Ends are numbered anew in each incarnation. A number of an earlier incarnation must not reach
   // one that has not answered yet, as it would discard ends that were never received. So an end is
   // acknowledged only shortly after an answer, and in a hold without a long poll.
-  const bool answered_recently = target->failed_holds == 0 &&
+  const bool answered_recently = target->failed_holds == 0 && !further &&
                                  now - target->answered_at < this->settings.max_answer_age_for_ack;
   const bool ack_due = target->last_durable_end > target->last_acked_end;
   hold.acked_end = ack_due && answered_recently ? target->last_durable_end : 0;
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
   // The lease of a target with a lease bound is to be extended as soon as the bound is removed.
   const bool may_wait = target->reconciled && !uncommitted && !ack_due &&
-                        target->failed_holds == 0 && !this->HasLeaseBound(target->entry.id);
+                        target->failed_holds == 0 && !further &&
+                        !this->HasLeaseBound(target->entry.id);
   if (may_wait) {
     const bool near_bound = !target->load.best_effort.empty() &&
                             ReportedTailRatio(target->load.serving) >
@@ -350,7 +354,15 @@
     hold.wait = near_bound ? this->settings.long_poll_near_bound : this->settings.long_poll;
   }
   target->hold_in_flight = true;
+  target->open_holds++;
   target->holds_sent++;
+  target->first_open_hold =
+      target->unanswered_holds == 0 ? target->holds_sent : target->first_open_hold;
+  target->unanswered_holds++;
+  const bool quick = target->unanswered_holds < this->settings.max_quick_holds;
+  target->further_hold_at =
+      now + hold.wait +
+      (quick ? this->settings.overdue_hold_interval : this->settings.silent_hold_interval);
   this->counts.holds++;
   internal::SentOrder sent;
   sent.kind = internal::SentOrder::Kind::kHold;
@@ -360,7 +372,7 @@
   // A target that seems silent may only be slow to answer.
   const bool silent = target->failed_holds >= this->settings.health.max_failed_holds;
   const Duration margin =
-      silent ? this->settings.silent_hold_timeout : this->settings.hold_timeout_margin;
+      silent || further ? this->settings.silent_hold_timeout : this->settings.hold_timeout_margin;
   this->EnqueueOrder(*target, hold, hold.wait + margin, sent);
 }
 
@@ -441,7 +453,8 @@
 void Cell::SendDueHolds(TimePoint now) {
   for (auto& [id, target] : this->targets) {
     this->CancelUnconfirmedStarts(id, &target, now);
-    if (target.hold_in_flight || target.entry.address.empty() || now < target.next_hold_at) {
+    const TimePoint due_at = target.hold_in_flight ? target.further_hold_at : target.next_hold_at;
+    if (target.entry.address.empty() || now < due_at) {
       continue;
     }
     const bool clock_outdated =
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -79,6 +79,12 @@
   Duration silent_hold_timeout = std::chrono::milliseconds(2000);
   /// Delay before a rejected or unanswered hold is sent again.
   Duration hold_retry_delay = std::chrono::milliseconds(300);
+  /// Time after the long poll of an unanswered hold, and after each further hold, at which a
+  /// further hold is sent without waiting for the timeout.
+  Duration overdue_hold_interval = std::chrono::milliseconds(300);
+  /// Replaces `overdue_hold_interval` once `max_quick_holds` holds in a row had no answer.
+  Duration silent_hold_interval = std::chrono::milliseconds(1000);
+  std::uint32_t max_quick_holds = 5;
   /// Interval of holds to a target while some of its ends are not in the store yet.
   Duration uncommitted_poll_interval = std::chrono::milliseconds(130);
   /// A target's ends are acknowledged only within this time after its last answer. The time covers
@@ -264,14 +270,23 @@
   bool answered = false;
   /// The incarnation has answered a hold of this owner with all its unacknowledged ends.
   bool reconciled = false;
+  /// None of the holds sent since the last usable answer has one yet, and the last of them has not
+  /// failed.
   bool hold_in_flight = false;
-  TimePoint next_hold_at{};            ///< earliest time of the next hold
-  std::uint64_t holds_sent = 0;        ///< also the number of the last hold
+  std::size_t open_holds = 0;           ///< holds without an answer that have not timed out
+  TimePoint next_hold_at{};             ///< earliest time of the next hold if none is in flight
+  TimePoint further_hold_at{};          ///< time of the next hold while one is in flight
+  std::uint32_t unanswered_holds = 0;   ///< holds sent since the last usable answer
+  std::uint64_t holds_sent = 0;         ///< also the number of the last hold
+  std::uint64_t last_listed_hold = 0;   ///< highest number of a hold whose lists were used
+  std::optional<TargetTime> listed_at;  ///< target's clock at the last lists that were used
+  /// Number of the first hold that was sent after the last usable answer.
+  std::uint64_t first_open_hold = 0;
   std::uint64_t last_seen_end = 0;     ///< highest end number received
   std::uint64_t last_durable_end = 0;  ///< the effects of ends up to this number are in the store
   std::uint64_t last_acked_end = 0;    ///< highest end number whose acknowledgement was answered
-  /// Holds since the last successful one that were not answered, or were rejected for a reason
-  /// other than a fencing token or a target id.
+  /// Holds sent since the last usable answer that were not answered in time, or were rejected for a
+  /// reason other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
   TimePoint silent_since{};    ///< when `failed_holds` last rose from 0
   bool loss_recorded = false;  ///< its loss since then is in `Cell::recent_losses`
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -639,6 +639,42 @@
   return fixture.cell.CountNotBegun()[fixture.queue.id].unconfirmed;
 }
 
+// Guards against owners that learn nothing from a target until one overdue hold has timed out.
+TEST_CASE("a hold that is overdue is followed by others that extend no lease", "[cell][holds]") {
+  CellFixture fixture;
+  fixture.estimate = std::chrono::minutes(2);
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), done, fixture.now);
+  HoldReply listed = fixture.Reply();
+  listed.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.AnswerHold(listed);
+  fixture.Advance(milliseconds(1));
+  const auto overdue = fixture.Take<HoldOrder>();
+  REQUIRE(overdue);
+  REQUIRE(overdue->second.deadline);
+  fixture.Advance(overdue->second.wait + milliseconds(299));
+  REQUIRE_FALSE(fixture.Take<HoldOrder>());
+  fixture.Advance(milliseconds(1));
+  const auto further = fixture.Take<HoldOrder>();
+  REQUIRE(further);
+  REQUIRE_FALSE(further->second.deadline);
+  REQUIRE(further->second.wait == milliseconds(0));
+  HoldReply newer = fixture.Reply();
+  newer.running = listed.running;
+  fixture.cell.OnHoldReply(further->first, newer, fixture.now);
+  fixture.Advance(milliseconds(1));
+  const auto next = fixture.Take<HoldOrder>();
+  REQUIRE(next);
+  REQUIRE(next->second.deadline);
+  // Neither the timeout of the hold before nor a list that is older counts.
+  fixture.cell.OnHoldReply(overdue->first, HoldReply{}, fixture.now);
+  HoldReply older = fixture.Reply();
+  older.clock = *newer.clock - TargetTime(1);
+  fixture.cell.OnHoldReply(next->first, older, fixture.now);
+  REQUIRE(TaskOf(fixture).phase == TaskPhase::kRunning);
+}
+
 TEST_CASE("a submission whose starts get no answer is not counted as begun", "[cell][pending]") {
   // The owner assigns tasks at once, but its orders may be lost for as long as its link is full.
   CellFixture fixture;
