Keep the address at which a target has restarted in the records of its runs

Cause: when a target restarts under its id at another address, BeginIncarnation() and FinishLoading() changed the number of the incarnation in its tasks and kept the earlier address. The records then led a later owner to the earlier address if the target was not registered, so it could neither find nor stop the run before its lease expired. Change: the whole incarnation is replaced.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -89,7 +89,7 @@
       if (task.incarnation.number < target.incarnation) {
         lost_runs.push_back(internal::LostRun{key, false, task.crash_record.isolated, true, false});
       }
-      task.incarnation.number = target.incarnation;
+      task.incarnation = target.CurrentIncarnation();
     }
     if (!lost_runs.empty()) {
       this->CountCrash(&lost_runs, LossKind::kAlone, true, id);
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -88,7 +88,7 @@
       this->EndIfFinished(submission);
       continue;
     }
-    task->incarnation.number = incarnation;
+    task->incarnation = {target->entry.id, incarnation, target->entry.address};
     if (task->phase == TaskPhase::kStopping) {
       // The earlier incarnation's answer to the stop does not bind this one.
       task->absent_after_hold = internal::kListsInconclusive;
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -195,6 +195,30 @@
   REQUIRE(task.run == 1);
 }
 
+// A later owner asks there for the run if the target is not registered.
+TEST_CASE("a task keeps the address at which its target has restarted under its id",
+          "[cell][holds]") {
+  CellFixture fixture;
+  fixture.PlaceTask();
+  const bool new_owner = GENERATE(false, true);
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.entry.address = "target:2";
+  if (new_owner) {
+    fixture.ChangeOwner();
+  } else {
+    fixture.cell.PutTarget(fixture.entry, fixture.now);
+  }
+  HoldReply restarted = fixture.Reply(kIncarnation + 1);
+  restarted.running.push_back(RunningRun{kTask, 1, "", 10.0, 0.0});
+  fixture.Advance(milliseconds(10));
+  fixture.AnswerHold(restarted);
+  fixture.Advance(milliseconds(10));
+  REQUIRE_FALSE(fixture.Take<StopOrder>());
+  const Task& task = fixture.cell.submissions().at(kSubmission).occurrences.at(0).steps[0].tasks[0];
+  REQUIRE(task.phase == TaskPhase::kRunning);
+  REQUIRE(task.incarnation.address == "target:2");
+}
+
 TEST_CASE("a new incarnation gets a stop for starts that an earlier one never answered",
           "[cell][holds]") {
   // The first send of the start may take effect seconds later, when the task is done already.
