--- a/pistachio/process/node/daemon.cc
+++ b/pistachio/process/node/daemon.cc
@@ -20,10 +20,10 @@
 constexpr Duration kActiveTickInterval = std::chrono::milliseconds(8);
 /// Longest time between two ticks while the host has no cell.
 constexpr Duration kIdleTickInterval = std::chrono::milliseconds(60);
-/// Maximum number of concurrent connections to one target. The number allows a long poll and two
-/// concurrent orders. Further orders wait for a free connection, because opening a new one costs
-/// more than waiting a millisecond.
-constexpr long kConnectionsPerTarget = 4;  // NOLINT(google-runtime-int): libcurl's type
+/// Maximum number of concurrent connections to one target. The number allows
+/// `CellSettings::max_open_holds` holds and two concurrent orders. Further orders wait for a free
+/// connection, because opening a new one costs more than waiting a millisecond.
+constexpr long kConnectionsPerTarget = 6;  // NOLINT(google-runtime-int): libcurl's type
 /// Time from the stop signal to the closing of the servers. The load balancer needs two probes, a
 /// second apart, to notice that the host is not ready. Callers that it routes to this host until
 /// then have to be answered. The rest of the grace time before the process is killed is a margin.
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -455,7 +455,9 @@
     this->CancelUnconfirmedStarts(id, &target, now);
     this->StopOrphanedRuns(&target, now);
     const TimePoint due_at = target.hold_in_flight ? target.further_hold_at : target.next_hold_at;
-    if (target.entry.address.empty() || now < due_at) {
+    const bool too_many =
+        target.hold_in_flight && target.open_holds >= this->settings.max_open_holds;
+    if (target.entry.address.empty() || now < due_at || too_many) {
       continue;
     }
     const bool clock_outdated =
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -85,6 +85,9 @@
   /// Replaces `overdue_hold_interval` once `max_quick_holds` holds in a row had no answer.
   Duration silent_hold_interval = std::chrono::milliseconds(1000);
   std::uint32_t max_quick_holds = 5;
+  /// Most holds to one target that may wait for their answers. Each occupies one of the target's
+  /// connections, and starts and stops need the others.
+  std::size_t max_open_holds = 4;
   /// Interval of holds to a target while some of its ends are not in the store yet.
   Duration uncommitted_poll_interval = std::chrono::milliseconds(130);
   /// A target's ends are acknowledged only within this time after its last answer. The time covers
