Ask a restarted target at once, whatever holds to its earlier incarnation do

Cause: a hold that waited for the answer of the earlier incarnation kept the cell from asking the next one, and its timeout counted as silence of the next one, which then got no deadline and no starts. Change: a new incarnation begins without holds in flight; failures of earlier ones are ignored. Result: 'a restarted target is asked although holds to its earlier incarnation are unanswered' failed before (no hold) and passes; test_scheduling passes.

--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -121,6 +121,10 @@
   target->last_durable_end = 0;
   target->last_acked_end = 0;
   target->failed_holds = 0;
+  // Holds to the earlier incarnation tell nothing of this one if they get no answer.
+  target->hold_in_flight = false;
+  target->unanswered_holds = 0;
+  target->first_open_hold = target->holds_sent + 1;
   target->orphaned_runs.clear();
   for (auto& [run, start] : target->unconfirmed_starts) {
     start.cancel_at = now;
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "pistachio/process/scheduling/cell.h"
@@ -169,6 +170,25 @@
   REQUIRE(acknowledging->second.wait.count() == 0);
 }
 
+TEST_CASE("a restarted target is asked although holds to its earlier incarnation are unanswered",
+          "[cell][holds]") {
+  CellFixture fixture;
+  fixture.PlaceTask();
+  fixture.Advance(milliseconds(1));
+  const auto unanswered = fixture.Take<HoldOrder>();
+  REQUIRE(unanswered);
+  fixture.entry.incarnation = kIncarnation + 1;
+  fixture.cell.PutTarget(fixture.entry, fixture.now);
+  fixture.Advance(milliseconds(1));
+  const auto hold = fixture.Take<HoldOrder>();
+  REQUIRE(hold);
+  fixture.cell.OnHoldReply(unanswered->first, HoldReply{}, fixture.now);
+  const auto events = fixture.cell.TakeEvents();
+  REQUIRE(std::none_of(events.begin(), events.end(), [](const EventRecord& event) {
+    return event.code == EventCode::kTargetSilent;
+  }));
+}
+
 TEST_CASE("after a pause, ends are not acknowledged before the target has answered again",
           "[cell][holds]") {
   // While a host is suspended for seconds, the target may restart; the new incarnation numbers its
