Count no acknowledgement of an earlier incarnation for the next one

Cause: a hold that acknowledges ends of one incarnation and is answered by the next set the highest acknowledged number of the next, whose ends count anew. Its ends up to that number were then never acknowledged. Change: the number is taken only from an answer of the incarnation that the hold was sent to. Result: 'an acknowledgement meant for an earlier incarnation leaves the next one's ends open' failed before (no hold acknowledges the end) and passes; test_scheduling passes.

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -53,7 +53,9 @@
     return;
   }
   this->NoteDeadline(target, sent, reply.status, now);
-  target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
+  if (sent.incarnation == target->incarnation) {
+    target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
+  }
   // Answers may overtake each other, and so may the holds. Older lists lack later runs and ends.
   const bool outdated = sent.hold_number < target->last_listed_hold ||
                         (reply.clock && target->listed_at && *reply.clock < *target->listed_at);
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -170,6 +170,23 @@
   REQUIRE(acknowledging->second.wait.count() == 0);
 }
 
+// A target may restart between two holds, and each incarnation counts its ends anew.
+TEST_CASE("an acknowledgement meant for an earlier incarnation leaves the next one's ends open",
+          "[cell][holds]") {
+  CellFixture fixture;
+  CompleteTask(&fixture);
+  fixture.Advance(milliseconds(30));
+  HoldReply ended = fixture.Reply(kIncarnation + 1);
+  ended.finished.push_back(FinishedRun{1, kTask, 1, RunOutcome::kStopped, ""});
+  fixture.AnswerHold(ended);
+  fixture.Advance(milliseconds(130));
+  fixture.AnswerHold(ended);
+  fixture.Advance(milliseconds(130));
+  const auto acknowledging = fixture.Take<HoldOrder>();
+  REQUIRE(acknowledging);
+  REQUIRE(acknowledging->second.acked_end == 1);
+}
+
 TEST_CASE("a restarted target is asked although holds to its earlier incarnation are unanswered",
           "[cell][holds]") {
   CellFixture fixture;
