Requeue a task in place of a stop if its start was never sent

Cause: a cancel, or the end of another member of a gang, sent a stop for a run whose start still waited, for instance for current registrations. Such a run doesn't exist. Its task waited for the target's answer, and a late end of an earlier run was dropped meanwhile. Change: StopAllRuns() and StopGang() ask Task::IsUnsent().

--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -381,7 +381,7 @@
     TaskKey member = key;
     member.index = index;
     Task& task = step.tasks[index];
-    if (task.phase == TaskPhase::kAssigned) {
+    if (task.IsUnsent()) {
       this->Requeue(submission, member, &task, "gang-broken", now);
     } else if (task.HoldsResources()) {
       this->BeginStop(member, &task, StopReason::kGangBroken, now);
@@ -399,7 +399,7 @@
       for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
         const TaskKey key{submission->accepted.id, number, step, index};
         Task& task = occurrence.steps[step].tasks[index];
-        if (task.phase == TaskPhase::kAssigned) {
+        if (task.IsUnsent()) {
           this->Requeue(submission, key, &task, NameOf(reason), now);
         } else if (task.HoldsResources()) {
           this->BeginStop(key, &task, reason, now);
--- a/tests/scheduling/cell_holds_test.cc
+++ b/tests/scheduling/cell_holds_test.cc
@@ -206,6 +206,20 @@
   }));
 }
 
+// Its target may not answer, and then the stop is awaited until the lease expires.
+TEST_CASE("a cancelled task whose start was never sent needs no stop", "[cell][holds]") {
+  CellFixture fixture;
+  fixture.Advance(milliseconds(1));
+  fixture.AnswerHold(fixture.Reply());
+  fixture.cell.SetRegistrationsCurrent(false);
+  fixture.Submit();
+  fixture.Advance(milliseconds(200));
+  fixture.cell.Cancel(kSubmission, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  REQUIRE_FALSE(fixture.Take<StopOrder>());
+  REQUIRE(fixture.cell.submissions().at(kSubmission).Ended());
+}
+
 TEST_CASE("after a pause, ends are not acknowledged before the target has answered again",
           "[cell][holds]") {
   // While a host is suspended for seconds, the target may restart; the new incarnation numbers its
