Go on with a read at the page whose answer was lost

Cause: one lost or refused page of a prefix made a mirror read all pages again. Change: only lost history begins a read anew; the watch starts at the revision of the first page, as before.

--- a/pistachio/connection/store/prefix_mirror.cc
+++ b/pistachio/connection/store/prefix_mirror.cc
@@ -186,7 +186,7 @@
 
 void PrefixMirror::OnFailure(const StoreReply& reply) {
   State& current = *this->state;
-  if (reply.status == StoreStatus::kMissing || current.reading) {
+  if (reply.status == StoreStatus::kMissing) {
     current.reading = true;
     current.last_key.clear();
     current.page_items.clear();
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -86,6 +86,19 @@
   REQUIRE(fixture.changes == std::vector<std::string>{"+p/a", "+p/b", "-p/a"});
 }
 
+// A slow host that reads everything anew with each lost answer may never have its copy.
+TEST_CASE("a read goes on at the page whose answer was lost", "[store]") {
+  Fixture fixture;
+  fixture.mirror->Start(TimePoint{});
+  fixture.store.Answer(OkReply({Item("p/a", 3)}, 10, true));
+  fixture.store.Answer(StatusReply(StoreStatus::kRefused));
+  fixture.mirror->Tick(TimePoint{} + milliseconds(100));
+  const StoreCall second = fixture.store.Answer(OkReply({Item("p/b", 12)}, 13));
+  REQUIRE(std::get<ReadRange>(second).after_key == "p/a");
+  REQUIRE(fixture.changes == std::vector<std::string>{"+p/a", "+p/b"});
+  REQUIRE(std::get<WatchPrefix>(fixture.store.pending.front().first).after_revision == 10);
+}
+
 TEST_CASE("after lost history all keys are read again and what was removed is reported",
           "[store]") {
   Fixture fixture;
