--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -33,11 +33,6 @@
        "The owner has read the caller's request to cancel a submission and stops what still runs "
        "of it. `from` says where it has read it: in its inbox, as its own request, or when it "
        "loaded the cell; `revision` is that of the mark in the store."},
-      {EventCode::kStopLate, Severity::kWarning, "stop-late",
-       "Runs of a cancelled submission have not ended in time since the owner began to stop them; "
-       "the fields describe the first of `runs`, and each submission is counted once. With an "
-       "old answer, the target does not answer; with a recent one, its stops get lost or are not "
-       "carried out."},
       {EventCode::kSubmissionFailed, Severity::kWarning, "submission-failed",
        "A task has failed as often as its queue allows, or has crashed the targets that started "
        "it, "
@@ -65,6 +60,11 @@
       {EventCode::kSubmissionStays, Severity::kWarning, "submission-stays",
        "A submission whose runs were stopped for a move stays in its cell; the cause says why. Its "
        "tasks run again before other work."},
+      {EventCode::kStopLate, Severity::kWarning, "stop-late",
+       "Runs of a cancelled submission have not ended in time since the owner began to stop them; "
+       "the fields describe the first of `runs`, and each submission is counted once. With an "
+       "old answer, the target does not answer; with a recent one, its stops get lost or are not "
+       "carried out."},
       {EventCode::kWorkDelayed, Severity::kInfo, "work-delayed",
        "Room is scarce, and a submission waits for others: with the reason given-up, since not all "
        "can be in time and it has less value per core-second left; with set-aside, since it can "
