--- a/review/standin/lab.hpp
+++ b/review/standin/lab.hpp
@@ -663,6 +663,7 @@
   struct Slot {
     std::uint64_t run = 0;
     std::size_t index = 0;  ///< in `Runs::all`
+    std::int64_t began = 0;
     std::int64_t ends_at = 0;
     std::string how;
     std::int64_t stop_at = -1;
@@ -797,7 +798,8 @@
       const Work work = this->work_of(task);
       Slot slot;
       slot.run = number;
-      slot.ends_at = NowMs() + work.ms;
+      slot.began = NowMs();
+      slot.ends_at = slot.began + work.ms;
       slot.how = work.how;
       {
         const std::lock_guard<std::mutex> runs_lock(this->runs->mutex);
@@ -845,7 +847,10 @@
     }
     Json running_rows = Json::array();
     for (const auto& [name, slot] : this->running) {
-      const double percent = slot.how.empty() ? 100.0 : 50.0;
+      const std::int64_t percent =  // in whole percent, as in the page's example
+          slot.how.empty()
+              ? 100
+              : 100 * (NowMs() - slot.began) / std::max<std::int64_t>(1, slot.ends_at - slot.began);
       running_rows.push_back(Json::array({name, slot.run, "", percent, 1}));
     }
     Json rows = Json::array();
