--- a/review/standin/lab.hpp
+++ b/review/standin/lab.hpp
@@ -23,6 +23,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -1021,8 +1022,8 @@
              std::function<Work(const std::string&)> work_of)
       : record(record_path) {
     signal(SIGPIPE, SIG_IGN);
-    char name[] = "/tmp/pistachio-review-XXXXXX";
-    this->folder = mkdtemp(name);
+    std::string name = std::filesystem::temp_directory_path() / "pistachio-review-XXXXXX";
+    this->folder = mkdtemp(name.data());
     this->store = std::make_unique<Store>(&this->record);
     this->store->Write(
         "op/config",
