--- a/review/standin/reborn.cpp
+++ b/review/standin/reborn.cpp
@@ -6,7 +6,7 @@
 
 int main(int, char** argv) {
   std::atomic<bool> second_part{false};
-  Deployment deployment(std::string(argv[1]) + "/record.txt", 2, 2, [&](const std::string&) {
+  Deployment deployment(std::string(argv[1]) + "/record.txt", 8, 2, [&](const std::string&) {
     return Work{second_part ? 600 : 300, "done"};
   });
   std::mutex mutex;
@@ -48,7 +48,7 @@
            R"(,"cpu":1000,"memMb":256,"estimateMs":300}]})";
   };
   armed = Trouble();
-  if (deployment.Post(0, "00000000000000d1", body(16)).status != 200) {
+  if (deployment.Post(0, "00000000000000d1", body(32)).status != 200) {
     deployment.Exit(2, "not accepted");
   }
   const auto completed = [&](const std::string& id) {
@@ -75,7 +75,7 @@
   // Left unanswered: the holds to that worker until its next runs have ended.
   mute = Trouble();
   const std::string id = "00000000000000d2";
-  if (deployment.Post(0, id, body(8)).status != 200) deployment.Exit(2, "not accepted");
+  if (deployment.Post(0, id, body(32)).status != 200) deployment.Exit(2, "not accepted");
   if (Trouble()) {
     if (!WaitFor(8000, [&] { return reborn->RunCount() > 0; })) {
       deployment.Exit(2, "no task began on the worker that had crashed");
@@ -92,7 +92,7 @@
   WaitFor(15000, completed(id));
   SleepMs(3000);
   int again = 0;
-  for (int index = 0; index < 8; ++index) {
+  for (int index = 0; index < 32; ++index) {
     const auto runs = deployment.runs.Of(id + ".0.0." + std::to_string(index));
     for (std::size_t first = 0; first < runs.size(); ++first) {
       for (std::size_t next = first + 1; next < runs.size(); ++next) {
