Give a task up on proven crashes, on possible ones only at the budget's bound

Cause: one number held proven and possible crashes. A start without an answer proves neither that the run began nor that it did not.

Task::confirmed says that a run is known to have begun. It is stored for suspected tasks, so that the next owner knows it, and dropped with the incarnation that it is about. A task is given up after two proven crashes, on possible ones only at five losses: a sixth start could be the third after three crashes, which BUDGET forbids.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -41,6 +41,8 @@
 void Cell::RecoverTask(Submission* submission, const TaskKey& key, Task* task, TimePoint now) {
   // The earlier owner may or may not have sent the start. The target's lists, once it has seen the
   // new token, show whether the run exists.
+  // A suspected task whose run had been confirmed has not lasted long enough since to be cleared.
+  task->confirmed = task->phase == TaskPhase::kRunning && task->crash_record.suspect;
   task->phase = TaskPhase::kStarting;
   task->phase_since = now;
   task->inherited = true;
@@ -87,7 +89,8 @@
       Task& task = *this->FindSubmission(key.submission)->FindTask(key);
       // The target has restarted since the earlier owner assigned the run.
       if (task.incarnation.number < target.incarnation) {
-        lost_runs.push_back(internal::LostRun{key, false, task.crash_record.isolated, true, false});
+        lost_runs.push_back(
+            internal::LostRun{key, task.confirmed, task.crash_record.isolated, true, false});
       }
       task.incarnation = target.CurrentIncarnation();
     }
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -488,6 +488,9 @@
   std::optional<internal::SentOrder> TakeSentOrder(OrderTicket ticket);
   void EnqueueStop(const Target& target, const TaskKey& key, RunNumber run, bool orphaned_run);
   void OnStartReply(const internal::SentOrder& sent, const OrderReply& reply, TimePoint now);
+  /// Notes that \a target has confirmed the run of a task that was starting.
+  void ConfirmRun(const Target& target, Submission* submission, const TaskKey& key, Task* task,
+                  TimePoint now);
   void OnStopReply(const internal::SentOrder& sent, const OrderReply& reply, TimePoint now);
   void EnqueueOrder(const Target& target, decltype(Order::order) order, Duration timeout,
                     internal::SentOrder sent);
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -8,16 +8,18 @@
   std::vector<internal::LostRun> runs;
   for (const TaskKey& key : target.tasks) {
     const Task& task = *this->FindSubmission(key.submission)->FindTask(key);
-    const bool confirmed = task.started_at != TimePoint{};
     // A run of an earlier owner has no start order here and may have begun.
     const bool unsent = task.phase == TaskPhase::kAssigned ||
                         (task.phase == TaskPhase::kStarting && task.sends == 0 &&
                          this->tasks_with_orders.count(key) != 0);
+    // When it began is unknown for a start without an answer and for a run of an earlier owner.
+    const bool dated = task.started_at != TimePoint{};
     const bool recent =
-        !confirmed || target.clock_at - task.started_at < this->settings.crash.suspicion_time;
+        !dated || target.clock_at - task.started_at < this->settings.crash.suspicion_time;
     if (!unsent && recent && !task.loss_recorded) {
-      const bool fresh = !confirmed || lost_at - task.started_at < this->settings.crash.quiet_time;
-      runs.push_back(internal::LostRun{key, confirmed, task.crash_record.isolated, fresh, false});
+      const bool fresh = !dated || lost_at - task.started_at < this->settings.crash.quiet_time;
+      runs.push_back(
+          internal::LostRun{key, task.confirmed, task.crash_record.isolated, fresh, false});
     }
   }
   return runs;
@@ -126,7 +128,8 @@
       this->Log(EventCode::kSubmissionFailed, {{"submission", run.task.submission.str()},
                                                {"task", run.task.str()},
                                                {"failures", std::to_string(task->failures)},
-                                               {"crashes", std::to_string(record.losses)}});
+                                               {"crashes", std::to_string(record.crashes)},
+                                               {"losses", std::to_string(record.losses)}});
     }
   }
 }
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -240,16 +240,8 @@
     task->checkpoint = row.checkpoint;
   }
   if (task->phase == TaskPhase::kStarting) {
-    task->phase = TaskPhase::kRunning;
-    task->displaced = false;
-    task->destination = TargetId();
-    task->reserved_since.reset();
-    task->phase_since = now;
-    task->started_at = now;
+    this->ConfirmRun(*target, submission, row.task, task, now);
     task->partial = true;
-    task->progressed_at = now;
-    task->absent_after_hold = target->holds_sent;
-    this->tasks_with_orders.erase(row.task);
     const bool unwanted = submission->cancelled || submission->failed;
     if (unwanted) {
       this->BeginStop(row.task, task, StopReason::kCancelled, now);
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -103,7 +103,9 @@
     } else if (task->phase == TaskPhase::kRunning) {
       task->absent_after_hold = target->holds_sent;
     }
+    // What the earlier incarnation has shown of the run does not hold for this one.
     task->reported = false;
+    task->confirmed = false;
     task->loss_recorded = false;
     this->MarkDirty(key.submission, true);
   }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -228,18 +228,8 @@
   }
   task->order_in_flight = false;
   if (reply.status == OrderStatus::kDone) {
-    submission->begun = true;
-    task->phase = TaskPhase::kRunning;
-    task->displaced = false;
-    task->destination = TargetId();
-    task->reserved_since.reset();
-    task->run_seen_at = now;
-    task->phase_since = now;
-    task->started_at = now;
+    this->ConfirmRun(*target, submission, sent.task, task, now);
     task->partial = !task->checkpoint.empty();
-    task->progressed_at = now;
-    task->absent_after_hold = target->holds_sent;
-    this->tasks_with_orders.erase(sent.task);
     this->Log(EventCode::kRunStarted, {{"task", sent.task.str()},
                                        {"run", std::to_string(sent.run)},
                                        {"target", sent.target.str()},
@@ -284,6 +274,26 @@
   }
 }
 
+void Cell::ConfirmRun(const Target& target, Submission* submission, const TaskKey& key, Task* task,
+                      TimePoint now) {
+  submission->begun = true;
+  task->phase = TaskPhase::kRunning;
+  task->displaced = false;
+  task->destination = TargetId();
+  task->reserved_since.reset();
+  task->run_seen_at = now;
+  task->phase_since = now;
+  task->started_at = now;
+  task->confirmed = true;
+  task->progressed_at = now;
+  task->absent_after_hold = target.holds_sent;
+  this->tasks_with_orders.erase(key);
+  if (task->crash_record.suspect) {
+    // If the target crashes and the owner changes, the next one knows that the run had begun.
+    this->MarkDirty(key.submission, true);
+  }
+}
+
 void Cell::OnStopReply(const internal::SentOrder& sent, const OrderReply& reply, TimePoint now) {
   Target* target = this->FindTarget(sent.target);
   const bool stop_accepted =
--- a/pistachio/process/scheduling/crash_blame.cc
+++ b/pistachio/process/scheduling/crash_blame.cc
@@ -64,9 +64,10 @@
 }
 
 bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings) {
-  return record.losses >= settings.max_losses ||
-         (record.isolated && (record.crashes >= settings.max_isolated_crashes ||
-                              record.losses >= settings.max_isolated_losses));
+  if (record.crashes < settings.min_crashes) {
+    return record.losses >= settings.max_losses;
+  }
+  return record.isolated || record.losses >= settings.max_losses_after_crashes;
 }
 
 }  // namespace pistachio
--- a/pistachio/process/scheduling/crash_blame.h
+++ b/pistachio/process/scheduling/crash_blame.h
@@ -22,13 +22,14 @@
   Duration max_quiet_time_without_run = std::chrono::milliseconds(8500);
   /// Largest fraction of the targets that are kept for suspected tasks at the same time.
   double max_isolated_share = 0.25;
-  /// Crashes after which a task is given up if it was isolated during the last one.
-  std::uint32_t max_isolated_crashes = 2;
-  /// Losses after which a task is given up if it was isolated during the last one. Some of the
-  /// starts may not have arrived before the crash.
-  std::uint32_t max_isolated_losses = 3;
-  /// Losses after which a task is given up in any case.
-  std::uint32_t max_losses = 4;
+  /// Crashes under confirmed runs from which on a task may be given up. It is if it was isolated
+  /// during the last one.
+  std::uint32_t min_crashes = 2;
+  /// Losses after which a task with that many crashes is given up, isolated or not.
+  std::uint32_t max_losses_after_crashes = 4;
+  /// Losses after which a task is given up without that many crashes. No start may have arrived,
+  /// but if all did, another one may be the third after three crashes, which the rules forbid.
+  std::uint32_t max_losses = 5;
   /// Targets whose last answers were lost within this time of each other count as lost together.
   Duration outage_window = std::chrono::milliseconds(500);
   /// Smallest number of targets, and smallest fraction of all targets, lost together that may have
@@ -70,6 +71,9 @@
                       const CrashSettings& settings);
 
 /// \returns true if a task with this record is to be given up after the loss of its target.
+///
+/// Only a run that its target has confirmed proves that a crash happened under the task. A start
+/// without an answer may have been lost with a target that crashed for another reason.
 bool IsGivenUp(const CrashRecord& record, const CrashSettings& settings);
 
 }  // namespace pistachio
--- a/tests/scheduling/crash_blame_test.cc
+++ b/tests/scheduling/crash_blame_test.cc
@@ -169,6 +169,8 @@
   int crashes = 0;
   int starts_of_deadly = 0;
   bool deadly = true;  ///< runs of `kDeadly` crash their targets
+  /// Number of further starts of `kDeadly` whose target crashes before they arrive.
+  int crashes_before_start = 0;
 
  private:
   void Answer(const OutgoingOrder& outgoing) {
@@ -179,6 +181,14 @@
           : this->cell->OnOrderReply(outgoing.ticket, OrderReply{}, this->now);
       return;
     }
+    const auto* lost_start = std::get_if<StartOrder>(&outgoing.order.order);
+    if (lost_start != nullptr && lost_start->task.submission == kDeadly &&
+        this->crashes_before_start > 0) {
+      this->crashes_before_start--;
+      this->Crash(address);
+      this->cell->OnOrderReply(outgoing.ticket, OrderReply{}, this->now);
+      return;
+    }
     const TargetEntry& entry = this->registered.at(address);
     const bool same_instance = entry.id == outgoing.order.target;
     const auto clock = std::chrono::duration_cast<TargetTime>(this->now.time_since_epoch());
@@ -385,6 +395,58 @@
   REQUIRE_FALSE(fixture.submission(kLongRunning).failed);
 }
 
+// Four starts that never arrived were taken for crashes under the task.
+TEST_CASE("a task is not given up for targets that crash before its starts arrive",
+          "[cell][crash_blame]") {
+  const bool long_running = GENERATE(false, true);
+  CAPTURE(long_running);
+  CrashFixture fixture;
+  fixture.deadly = false;
+  fixture.crashes_before_start = 4;
+  for (const char* address : {"a", "b", "c", "d"}) {
+    fixture.AddTarget(address);
+  }
+  fixture.Run(milliseconds(600));
+  fixture.Submit(kDeadly, long_running);
+  for (int crash = 1; crash <= 4; ++crash) {
+    for (int step = 0; step < 500 && fixture.crashes < crash; ++step) {
+      fixture.Run(milliseconds(10));
+    }
+    REQUIRE(fixture.crashes == crash);
+    ReturnCrashedTarget(&fixture, milliseconds(1500));
+  }
+  fixture.Run(seconds(1));
+  REQUIRE(fixture.crashes == 4);
+  REQUIRE_FALSE(fixture.submission(kDeadly).failed);
+  REQUIRE(fixture.TaskOf(kDeadly).phase == TaskPhase::kRunning);
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record.crashes == 0);
+  fixture.Run(seconds(3));
+  REQUIRE(fixture.TaskOf(kDeadly).crash_record == CrashRecord{});
+}
+
+TEST_CASE("possible crashes give a task up only where another start might exceed its budget",
+          "[crash_blame]") {
+  const CrashSettings settings;
+  const auto given_up = [&settings](std::uint32_t crashes, std::uint32_t losses, bool isolated) {
+    return IsGivenUp(CrashRecord{crashes, losses, true, isolated}, settings);
+  };
+  // Three crashes and two more starts are allowed, the third start is not.
+  for (std::uint32_t crashes = 0; crashes <= 5; ++crashes) {
+    REQUIRE(given_up(crashes, 5, false));
+    REQUIRE(given_up(crashes, 5, true));
+  }
+  for (std::uint32_t losses = 0; losses <= 4; ++losses) {
+    for (std::uint32_t crashes = 0; crashes <= std::min(1U, losses); ++crashes) {
+      REQUIRE_FALSE(given_up(crashes, losses, true));
+      REQUIRE_FALSE(given_up(crashes, losses, false));
+    }
+  }
+  REQUIRE(given_up(2, 2, true));
+  REQUIRE_FALSE(given_up(2, 2, false));
+  REQUIRE_FALSE(given_up(3, 3, false));
+  REQUIRE(given_up(2, 4, false));
+}
+
 TEST_CASE("many suspected tasks do not keep other work off most targets", "[cell][crash_blame]") {
   CrashFixture fixture;
   fixture.deadly = false;
