End the requests of a stopping host by what is known of their writes

Callers got 503, which says that a submission never runs, from a process that stops, for submissions whose write was on its way to the store.

Cause: HttpServer::Stop answered every open request with 503, although only the handler knows whether a write was sent.

After the drain time, StoreRetries::BeginStop sends and repeats nothing more, waits 0.5 s for open answers and ends each call with what is known: a write without an answer is in doubt (504). The server then refuses only requests that the handler has not got, and answers 504 to others.

The case of test_http that required 503 for every open request asserted the fault; it now requires 504 for exactly the handled ones and 503 for one whose body was incomplete.

--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -345,6 +345,10 @@
   }
 }
 
+void SimulatedCluster::EndRequests(const std::string& name, Duration time_left) {
+  this->all_hosts.at(name)->node->EndRequests(this->clock_now + time_left);
+}
+
 void SimulatedCluster::FreezeHost(const std::string& name) {
   this->all_hosts.at(name)->frozen = true;
 }
--- a/emulator/simulated_cluster.h
+++ b/emulator/simulated_cluster.h
@@ -116,6 +116,8 @@
   void ResumeHost(const std::string& host, bool tick_first = false);
   /// \brief Begins a graceful stop; the process stays up until it is killed.
   void StopHostGracefully(const std::string& host);
+  /// \brief Ends the requests of a host that stops, see `Node::EndRequests`.
+  void EndRequests(const std::string& host, Duration time_left);
   /// \returns the host that owns the cell, or an empty text.
   std::string OwnerOf(const std::string& cell) const;
   /// \returns the control state of a host, or nullptr while it is down.
--- a/pistachio/connection/http/http_server.cc
+++ b/pistachio/connection/http/http_server.cc
@@ -63,9 +63,10 @@
 }
 
 /// \returns the answer to requests that are open when the server stops.
-ServedAnswer StoppingAnswer() {
+/// \param handled the handler has the request, so it may have taken effect, or may do so later
+ServedAnswer StoppingAnswer(bool handled) {
   ServedAnswer answer;
-  answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+  answer.status = handled ? MHD_HTTP_GATEWAY_TIMEOUT : MHD_HTTP_SERVICE_UNAVAILABLE;
   answer.body = R"({"error":"stopping"})";
   return answer;
 }
@@ -178,7 +179,7 @@
     if (this->stopping) {
       // Answers at once, because libmicrohttpd aborts the process if it is stopped while a
       // connection is suspended.
-      return internal::QueueAnswer(connection, internal::StoppingAnswer());
+      return internal::QueueAnswer(connection, internal::StoppingAnswer(false));
     }
     exchange.dispatched = true;
     exchange.suspended = true;
@@ -289,15 +290,20 @@
     return;
   }
   std::vector<ExchangeId> open;
+  std::vector<ExchangeId> handled;
   {
+    // From here on, no request is given to the handler.
     const std::lock_guard<std::mutex> lock(this->state->mutex);
     this->state->stopping = true;
     for (const auto& [id, exchange] : this->state->exchanges) {
       open.push_back(id);
+      if (exchange.dispatched) {
+        handled.push_back(id);
+      }
     }
   }
-  for (const ExchangeId id : open) {
-    this->Answer(id, internal::StoppingAnswer());
+  for (const ExchangeId id : handled) {
+    this->Answer(id, internal::StoppingAnswer(true));
   }
   this->state->WaitUntilClosed(open);
   MHD_stop_daemon(this->state->daemon);
--- a/pistachio/connection/http/http_server.h
+++ b/pistachio/connection/http/http_server.h
@@ -57,8 +57,11 @@
   /// \brief Accepts no more connections; open ones are still served.
   void StopListening();
 
-  /// \brief Answers open requests with status 503, waits up to 2 s until the answers are sent, and
-  /// stops the threads. Further calls do nothing.
+  /// \brief Answers all open requests, waits up to 2 s until the answers are sent, and stops the
+  /// threads. Further calls do nothing.
+  ///
+  /// A request that the handler has not got is answered with status 503 and has no effect. One that
+  /// it has got and not answered may have taken effect, and is answered with status 504.
   void Stop();
 
   /// \returns why Listen() failed; empty if it did not.
--- a/pistachio/process/node/daemon.cc
+++ b/pistachio/process/node/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -28,6 +29,11 @@
 /// second apart, to notice that the host is not ready. Callers that it routes to this host until
 /// then have to be answered. The rest of the grace time before the process is killed is a margin.
 constexpr Duration kDrainTime = std::chrono::milliseconds(3500);
+/// Longest time after that until all requests that wait for the store have an answer. It exceeds
+/// the answer time of a slow store, and leaves the servers their time within the grace time.
+constexpr Duration kEndRequestsTime = std::chrono::milliseconds(500);
+/// Time by which the control thread may be late to end the requests.
+constexpr Duration kEndRequestsMargin = std::chrono::milliseconds(200);
 /// Timeout of a probe of a target's health page.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 
@@ -55,7 +61,12 @@
   std::unique_ptr<HttpServer> control_server;
   std::unique_ptr<Node> node;
   std::thread control_thread;
+  bool ending_requests = false;  ///< used by the control thread only
+  std::promise<void> requests_ended;
 
+  /// Answers the callers that wait for the store. \returns once all have an answer, or the control
+  /// thread is late.
+  void EndRequests();
   /// Returns functions that send the node's calls by HTTP and post their replies to the queue.
   NodePorts MakePorts();
   /// Body of the control thread.
@@ -133,12 +144,25 @@
     }
     this->node->Tick(Now(this->clock), WallClockNow());
     this->readiness.ready = this->node->Ready();
+    if (this->ending_requests && !this->node->HasOpenRequests()) {
+      this->ending_requests = false;
+      this->requests_ended.set_value();
+    }
     for (const EventRecord& event : this->node->TakeEvents()) {
       WriteEvent(event);
     }
   }
 }
 
+void Daemon::State::EndRequests() {
+  this->queue.Post([this] {
+    this->node->EndRequests(Now(this->clock) + internal::kEndRequestsTime);
+    this->ending_requests = true;
+  });
+  this->requests_ended.get_future().wait_for(internal::kEndRequestsTime +
+                                             internal::kEndRequestsMargin);
+}
+
 void Daemon::State::OnCallerRequest(const ServedRequest& request) {
   const TimePoint received_at = Now(this->clock);
   this->queue.Post([this, request, received_at] {
@@ -269,6 +293,7 @@
     // Sleeps for the whole drain time; no thread signals the condition variable.
     unsignalled.wait_for(lock, internal::kDrainTime, [] { return false; });
   }
+  impl.EndRequests();
   impl.caller_server->Stop();
   impl.readiness_server->Stop();
   impl.control_server->Stop();
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -138,6 +138,11 @@
 
   /// \brief Starts to release all cells and takes no new ones; still answers callers.
   void BeginStop();
+  /// \brief Answers the callers that wait, see RequestHandler::BeginStop(). Called after
+  /// BeginStop(), once callers have learned that this host is not ready.
+  void EndRequests(TimePoint end_at) { this->request_handler->BeginStop(end_at); }
+  /// \returns true if a caller's request waits for the store.
+  bool HasOpenRequests() const { return this->request_handler->HasOpenRequests(); }
   /// \returns true if this host neither owns a cell nor is taking or releasing one.
   bool AllCellsReleased() const;
 
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -93,6 +93,14 @@
   /// \brief Sends the store calls of waiting requests that are due.
   void Tick(TimePoint now);
 
+  /// \brief Answers all requests that wait for the store by the first tick at or after \a end_at.
+  ///
+  /// A request whose write the store has not answered by then is answered as in doubt. Requests
+  /// that arrive from now on are refused if they need the store.
+  void BeginStop(TimePoint end_at) { this->store.BeginStop(end_at); }
+  /// \returns true if a request waits for the store.
+  bool HasOpenRequests() const { return this->store.open() != 0; }
+
   /// \returns the events logged since the last call.
   std::vector<EventRecord> TakeEvents() { return std::exchange(this->events, {}); }
 
--- a/pistachio/request/store_retries.cc
+++ b/pistachio/request/store_retries.cc
@@ -34,7 +34,9 @@
 void StoreRetries::Send(const StoreCall& call, const CallerDeadline& deadline,
                         const Callback& done) {
   PendingCall pending{call, deadline, done, 0, false, internal::RefusedReply("store-away"), {}};
-  if (this->callbacks.is_store_reachable()) {
+  if (this->end_at) {
+    done(internal::RefusedReply("stopping"), false);
+  } else if (this->callbacks.is_store_reachable()) {
     this->Attempt(std::move(pending));
   } else if (this->callbacks.store_outage_duration() >= deadline.retry_until - this->now) {
     done(pending.last_reply, false);
@@ -50,11 +52,19 @@
   const Duration least = write ? this->settings.min_write_timeout : this->settings.first_pause;
   const Duration timeout = std::clamp(left, least, this->settings.call_timeout);
   const StoreCall call = pending.call;
-  this->callbacks.store(
-      call, timeout, [this, pending](const StoreReply& reply) { this->OnReply(pending, reply); });
+  const std::uint64_t number = ++this->attempts_sent;
+  this->sent_calls.emplace(number, std::move(pending));
+  this->callbacks.store(call, timeout,
+                        [this, number](const StoreReply& reply) { this->OnReply(number, reply); });
 }
 
-void StoreRetries::OnReply(PendingCall pending, const StoreReply& reply) {
+void StoreRetries::OnReply(std::uint64_t number, const StoreReply& reply) {
+  const auto found = this->sent_calls.find(number);
+  if (found == this->sent_calls.end()) {
+    return;  // The call has ended in doubt since.
+  }
+  PendingCall pending = std::move(found->second);
+  this->sent_calls.erase(found);
   pending.in_doubt = pending.in_doubt || reply.status == StoreStatus::kUnknown;
   if (reply.status != StoreStatus::kRefused && reply.status != StoreStatus::kUnknown) {
     pending.done(reply, pending.in_doubt);
@@ -69,7 +79,7 @@
 
 void StoreRetries::WaitOrFail(PendingCall pending, Duration pause) {
   pending.retry_at = std::min(this->now + this->Spread(pause), pending.deadline.retry_until);
-  if (this->now + this->settings.first_pause > pending.deadline.retry_until ||
+  if (this->end_at || this->now + this->settings.first_pause > pending.deadline.retry_until ||
       this->waiting_calls.size() >= this->settings.max_waiting) {
     pending.done(pending.last_reply, pending.in_doubt);
     return;
@@ -77,8 +87,33 @@
   this->waiting_calls.push_back(std::move(pending));
 }
 
+void StoreRetries::BeginStop(TimePoint end_time) {
+  this->end_at = end_time;
+  for (PendingCall& call : std::exchange(this->waiting_calls, {})) {
+    call.done(call.last_reply, call.in_doubt);
+  }
+}
+
+void StoreRetries::EndSentCalls() {
+  for (auto& [number, call] : std::exchange(this->sent_calls, {})) {
+    StoreReply reply = internal::RefusedReply("stopping");
+    if (WritesKeys(call.call)) {
+      // The store may have carried it out, or may do so later.
+      reply.status = StoreStatus::kUnknown;
+      call.in_doubt = true;
+    }
+    call.done(reply, call.in_doubt);
+  }
+}
+
 void StoreRetries::Tick(TimePoint tick_now) {
   this->now = tick_now;
+  if (this->end_at) {
+    if (tick_now >= *this->end_at) {
+      this->EndSentCalls();
+    }
+    return;
+  }
   std::vector<PendingCall> due;
   for (auto call = this->waiting_calls.begin(); call != this->waiting_calls.end();) {
     const auto next = std::next(call);
--- a/pistachio/request/store_retries.h
+++ b/pistachio/request/store_retries.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
+#include <optional>
 #include <utility>
 
 #include "pistachio/connection/store.h"
@@ -79,8 +81,16 @@
   /// \brief Sends the calls whose pause has ended.
   void Tick(TimePoint now);
 
+  /// \brief Repeats no call and sends no new one from now on.
+  ///
+  /// Calls that wait for their next attempt end at once. Those that the store has not answered by
+  /// the first tick at or after \a end_at end then; a write among them is in doubt.
+  void BeginStop(TimePoint end_at);
+
   /// \returns the number of calls that wait for their next attempt.
   std::size_t waiting() const { return this->waiting_calls.size(); }
+  /// \returns the number of calls that have not ended.
+  std::size_t open() const { return this->waiting_calls.size() + this->sent_calls.size(); }
 
  private:
   struct PendingCall {
@@ -94,9 +104,11 @@
   };
 
   void Attempt(PendingCall pending);
-  void OnReply(PendingCall pending, const StoreReply& reply);
+  void OnReply(std::uint64_t number, const StoreReply& reply);
   /// Lets the call wait for its next attempt, or ends it if there is none.
   void WaitOrFail(PendingCall pending, Duration pause);
+  /// Ends the calls that the store has not answered.
+  void EndSentCalls();
   /// Returns \a pause, lengthened by a share that differs between calls.
   Duration Spread(Duration pause);
 
@@ -105,6 +117,9 @@
   TimePoint now{};  ///< time of the last tick
   std::uint64_t spread_count = 0;
   std::list<PendingCall> waiting_calls;
+  std::uint64_t attempts_sent = 0;                  ///< also the number of the last attempt
+  std::map<std::uint64_t, PendingCall> sent_calls;  ///< by the number of their open attempt
+  std::optional<TimePoint> end_at;                  ///< see BeginStop()
 };
 
 }  // namespace pistachio
--- a/tests/emulator/faults_test.cc
+++ b/tests/emulator/faults_test.cc
@@ -415,6 +415,37 @@
   RequireNoViolations(&cluster);
 }
 
+// A host that stopped refused submissions whose write the store carried out.
+TEST_CASE("a host that stops refuses no submission that it may have stored", "[emulator]") {
+  // Only the oldest write is answered before the requests end.
+  const milliseconds write_age = GENERATE(milliseconds(0), milliseconds(60), milliseconds(300));
+  CAPTURE(write_age.count());
+  RunningCluster cluster;
+  cluster.store_faults.extra_latency = milliseconds(580);
+  const std::string host = "north-host-0";
+  std::vector<Outcome> outcomes;
+  const auto submit = [&](const std::string& id) {
+    cluster.Submit(host, SubmissionId(id), MakeSubmission(1, 2, milliseconds(300)),
+                   [&outcomes](const CallerAnswer& answer) { outcomes.push_back(answer.outcome); });
+  };
+  submit("00000000000000a1");
+  cluster.Run(write_age);
+  cluster.StopHostGracefully(host);
+  cluster.EndRequests(host, milliseconds(500));
+  submit("00000000000000a2");
+  REQUIRE(outcomes == std::vector<Outcome>{Outcome::kUnavailable});
+  cluster.Run(milliseconds(520));
+  REQUIRE(outcomes.size() == 2);
+  REQUIRE(outcomes.back() ==
+          (write_age == milliseconds(300) ? Outcome::kAccepted : Outcome::kInDoubt));
+  REQUIRE_FALSE(cluster.node(host)->HasOpenRequests());
+  cluster.store_faults = StoreFaults{};
+  cluster.Run(seconds(10));
+  // The store had carried the first write out.
+  REQUIRE(cluster.checker().starts() == 2);
+  RequireNoViolations(&cluster);
+}
+
 TEST_CASE("hosts read the configuration again after the store compacts its history", "[emulator]") {
   RunningCluster cluster;
   SubmitLoad(&cluster, 1, seconds(2), milliseconds(100));
--- a/tests/http/http_exchange_test.cc
+++ b/tests/http/http_exchange_test.cc
@@ -16,6 +16,17 @@
 namespace pistachio {
 namespace {
 
+/// \returns a socket that is connected to a port of this machine.
+int ConnectTo(std::uint16_t port) {
+  const int connected = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(connected, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  return connected;
+}
+
 /// Server that answers its first request and closes the connection without an answer at each later
 /// one, as a target that crashes does.
 class ClosingServer {
@@ -266,34 +277,56 @@
   REQUIRE_FALSE(result.answer_cut_off);
 }
 
-TEST_CASE("a server that stops answers what is open and what still comes in", "[http]") {
+// Requests that the handler had and that took effect were answered as refused.
+TEST_CASE("a server that stops refuses only requests that its handler has not got", "[http]") {
   constexpr int kCallers = 8;
   std::atomic<int> held{0};
   HttpServer server(HttpServerLimits{}, [&](const ServedRequest& /*request*/) { held++; });
-  const std::string url = "http://" + server.Listen(ListenAddress{})->str() + "/";
+  const ListenAddress address = *server.Listen(ListenAddress{});
+  const std::string url = "http://" + address.str() + "/";
+  // The server has got only a part of this request when it stops.
+  const int partial = ConnectTo(address.port);
+  const std::string begin = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na";
+  REQUIRE(send(partial, begin.data(), begin.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(begin.size()));
   std::atomic<bool> stopped{false};
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
   std::atomic<int> refused{0};
+  std::atomic<int> in_doubt{0};
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       HttpClient client;
       HttpCall call = PatientCall();
       call.url = url;
       while (!stopped) {
-        refused += client.SendAndWait(call).status == 503 ? 1 : 0;
+        const int status = client.SendAndWait(call).status;
+        refused += status == 503 ? 1 : 0;
+        in_doubt += status == 504 ? 1 : 0;
       }
     });
   }
   while (held < kCallers) {
     std::this_thread::yield();
   }
+  std::string late_answer(12, '\0');
+  std::thread late_sender([&] {
+    while (in_doubt + refused == 0) {
+      std::this_thread::yield();
+    }
+    send(partial, "b", 1, MSG_NOSIGNAL);
+    recv(partial, late_answer.data(), late_answer.size(), MSG_WAITALL);
+    close(partial);
+  });
   server.Stop();
   stopped = true;
+  late_sender.join();
   for (std::thread& caller : callers) {
     caller.join();
   }
-  REQUIRE(refused >= kCallers);
+  REQUIRE(late_answer == "HTTP/1.1 503");
+  REQUIRE(in_doubt == kCallers);
+  REQUIRE(held == kCallers);
 }
 
 TEST_CASE("a listen address is an IPv4 address and a port number", "[http]") {
--- a/tests/request/store_retries_test.cc
+++ b/tests/request/store_retries_test.cc
@@ -1,6 +1,7 @@
 #include "pistachio/request/store_retries.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 
 namespace pistachio {
@@ -123,5 +124,60 @@
   REQUIRE(doubts == std::vector<bool>{true});
 }
 
+// Guards against a stopping process that refuses callers whose write the store carries out.
+TEST_CASE("a stop ends each call with what is known of it", "[store_retries]") {
+  std::vector<StoreCallback> open;
+  StoreRetries::Callbacks callbacks;
+  callbacks.store = [&open](const StoreCall&, Duration, const StoreCallback& callback) {
+    open.push_back(callback);
+  };
+  callbacks.is_store_reachable = [] { return true; };
+  callbacks.store_outage_duration = [] { return Duration(0); };
+  StoreRetries retries(StoreRetrySettings{}, callbacks);
+  TimePoint now{std::chrono::hours(1)};
+  retries.Tick(now);
+  std::map<std::string, std::pair<StoreStatus, bool>> ends;
+  const auto send = [&](const std::string& name, const StoreCall& call) {
+    retries.Send(call, retries.DeadlineOf(now, seconds(3)),
+                 [&ends, name](const StoreReply& reply, bool in_doubt) {
+                   REQUIRE(ends.emplace(name, std::make_pair(reply.status, in_doubt)).second);
+                 });
+  };
+  StoreReply reply;
+  send("refused write", Transaction{});
+  reply.status = StoreStatus::kRefused;
+  open.back()(reply);
+  send("write without an answer", Transaction{});
+  reply.status = StoreStatus::kUnknown;
+  open.back()(reply);
+  REQUIRE(ends.empty());
+  send("write that is answered in time", Transaction{});
+  const StoreCallback answer_in_time = open.back();
+  send("write that is not answered in time", Transaction{});
+  const StoreCallback answer_late = open.back();
+  send("read", ReadKey{"key"});
+  retries.BeginStop(now + milliseconds(500));
+  REQUIRE(ends.size() == 2);
+  REQUIRE(ends["refused write"] == std::make_pair(StoreStatus::kRefused, false));
+  REQUIRE(ends["write without an answer"].second);
+  reply.status = StoreStatus::kOk;
+  answer_in_time(reply);
+  REQUIRE(ends["write that is answered in time"] == std::make_pair(StoreStatus::kOk, false));
+  now += milliseconds(496);
+  retries.Tick(now);
+  REQUIRE(retries.open() == 2);
+  now += milliseconds(8);
+  retries.Tick(now);
+  REQUIRE(retries.open() == 0);
+  REQUIRE(ends["write that is not answered in time"] ==
+          std::make_pair(StoreStatus::kUnknown, true));
+  REQUIRE(ends["read"] == std::make_pair(StoreStatus::kRefused, false));
+  answer_late(reply);
+  const std::size_t sent = open.size();
+  send("write after the stop", Transaction{});
+  REQUIRE(ends["write after the stop"] == std::make_pair(StoreStatus::kRefused, false));
+  REQUIRE(open.size() == sent);
+}
+
 }  // namespace
 }  // namespace pistachio
