Start a long-running task again when its run ends as done

Cause: Cell::HandleFinishedRun completed the task for each end as done.

Such an end now requeues a long-running task like any other end. Records of earlier versions that hold one as done are read as waiting while their submission is open.

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -142,11 +142,14 @@
     this->counts.ends_done++;
     target->health.OnDone();
     this->LearnDuration(*target, *submission, end.task, *task, now);
+  }
+  if (end.outcome == RunOutcome::kDone && !spec.long_running) {
     this->CompleteTask(submission, end);
     return;
   }
   const bool failed = end.outcome == RunOutcome::kFailed;
-  (failed ? this->counts.ends_failed : this->counts.ends_other)++;
+  this->counts.ends_failed += failed ? 1 : 0;
+  this->counts.ends_other += !failed && end.outcome != RunOutcome::kDone ? 1 : 0;
   if (failed) {
     this->RecordFailure(target, submission, end.task, task, now);
   }
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -185,6 +185,12 @@
     for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
       Task& task = progress.tasks[index];
       task = TaskFromJson(steps.at(step).at(index), targets);
+      // Earlier versions counted a long-running task as done once one of its runs had ended so.
+      const bool runs_on = submission->Step(static_cast<std::uint32_t>(step)).long_running &&
+                           !submission->ended_at.has_value();
+      if (task.phase == TaskPhase::kDone && runs_on) {
+        task.phase = TaskPhase::kWaiting;
+      }
       progress.done += task.phase == TaskPhase::kDone ? 1 : 0;
       progress.waiting += task.phase == TaskPhase::kWaiting ? 1 : 0;
     }
