Trust that a store write was not sent only if no attempt was sent

Callers were refused submissions that the store had stored and that ran (REFUSED, the users' record, "Couldn't connect to server").

Cause: libcurl sends a request again if its reused connection closes without an answer, and the error or status of the repetition was taken for that of the request. CURLE_COULDNT_CONNECT counted as proof that nothing was sent.

Transfer::sent decides now. HttpCall::send_once forbids the repetition rather than opening a connection for each call, and all store writes and orders set it: a repeated start, stop or acknowledgement could reach the next incarnation of a target.

The users' runs were not reproduced.

--- a/pistachio/connection/http/http_client.cc
+++ b/pistachio/connection/http/http_client.cc
@@ -25,8 +25,9 @@
   curl_slist* headers = nullptr;
   bool too_large = false;
   Clock clock;
-  bool sent = false;     ///< a request may have reached the server
-  bool expired = false;  ///< the time of HttpCall::send_before had passed
+  bool sent = false;            ///< a request may have reached the server
+  bool expired = false;         ///< the time of HttpCall::send_before had passed
+  bool repeat_refused = false;  ///< the request was not sent again, see HttpCall::send_once
   ConnectionTracker* tracker = nullptr;
   std::optional<curl_socket_t> new_socket;  ///< opened for this call, no request sent on it yet
   ConnectionEnds connection;                ///< connection of the last request
@@ -57,8 +58,9 @@
     transfer->tracker->OnConnect(transfer->connection, *transfer->new_socket);
     transfer->new_socket.reset();
   }
-  if (Now(transfer->clock) >= transfer->call.send_before) {
-    transfer->expired = true;
+  transfer->expired = Now(transfer->clock) >= transfer->call.send_before;
+  transfer->repeat_refused = transfer->sent && transfer->call.send_once;
+  if (transfer->expired || transfer->repeat_refused) {
     return CURL_PREREQFUNC_ABORT;
   }
   transfer->sent = true;
@@ -120,26 +122,6 @@
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer.tracker);
   SetMethodAndBody(easy, transfer.call);
   SetHeaders(easy, transfer);
-  if (transfer.call.send_once) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-  }
-}
-
-/// \returns true if it is certain that no byte of \a call was sent, because its connection was
-/// never established. A timeout proves this only for a call with `send_once`, because libcurl
-/// reports a connect time of 0 for a reused connection, too.
-bool NothingSent(CURL* easy, CURLcode code, const HttpCall& call) {
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-      code == CURLE_URL_MALFORMAT) {
-    return true;
-  }
-  if (code != CURLE_OPERATION_TIMEDOUT || !call.send_once) {
-    return false;
-  }
-  curl_off_t connect_time = 0;
-  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
-  return connect_time == 0;
 }
 
 void FillResult(CURL* easy, CURLcode code, Transfer& transfer) {
@@ -149,10 +131,14 @@
     transfer.result.status = static_cast<int>(status);
     return;
   }
-  const bool nothing_sent =
-      NothingSent(easy, code, transfer.call) || (transfer.expired && !transfer.sent);
-  transfer.result.failure = nothing_sent ? HttpFailure::kNotSent : HttpFailure::kMaybeSent;
-  transfer.result.reason = transfer.too_large ? "answer too large" : curl_easy_strerror(code);
+  // The error says how the last attempt failed, which may not have been the first one.
+  transfer.result.failure = transfer.sent ? HttpFailure::kMaybeSent : HttpFailure::kNotSent;
+  transfer.result.reason = curl_easy_strerror(code);
+  if (transfer.too_large) {
+    transfer.result.reason = "answer too large";
+  } else if (transfer.repeat_refused) {
+    transfer.result.reason = "connection closed without an answer";
+  }
   transfer.result.answer_cut_off = !transfer.result.body.empty() && !transfer.too_large;
   transfer.result.body.clear();
 }
--- a/tests/http/http_exchange_test.cc
+++ b/tests/http/http_exchange_test.cc
@@ -54,6 +54,9 @@
     close(this->listener);
   }
 
+  /// Refuses all connections from now on and ends after the present request.
+  void StopListening() const { shutdown(this->listener, SHUT_RDWR); }
+
   std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port) + "/"; }
   int requests() const { return this->received.load(); }
 
@@ -229,6 +232,31 @@
   REQUIRE(server.requests() == 3);
 }
 
+// The client repeated the request on a new connection, which was refused, and took that for proof
+// that nothing was sent.
+TEST_CASE("a request is not called unsent since its repetition could not connect", "[http]") {
+  const bool send_once = GENERATE(false, true);
+  CAPTURE(send_once);
+  std::atomic<int> arrived{0};
+  ClosingServer* running = nullptr;
+  ClosingServer server(false, [&] {
+    if (++arrived == 2) {
+      running->StopListening();
+    }
+  });
+  running = &server;
+  HttpClient client;
+  HttpCall call = PatientCall();
+  call.method = "POST";
+  call.url = server.url();
+  call.body = "write";
+  call.send_once = send_once;
+  REQUIRE(client.SendAndWait(call).body == "ok");
+  REQUIRE(client.SendAndWait(call).failure == HttpFailure::kMaybeSent);
+  REQUIRE(server.requests() == 2);
+  REQUIRE(client.SendAndWait(call).failure == HttpFailure::kNotSent);
+}
+
 // A process is suspended with calls that it has not sent yet.
 TEST_CASE("a request is not sent once its time has passed", "[http]") {
   ManualClock clock;
