Keep a take of a cell in doubt when the store refuses its repetition

Operators saw take-failed answer=conflict by the host whose tasks then ran twice (the users' record). That the line led to the two runs is not shown.

Cause: OnTaken repeated a take without an answer, but forgot it when the store refused the repetition. A different take followed, which conflicts with the first if that had taken effect; the cell had no owner meanwhile.

The doubt now lasts until the store decides the take.

--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -163,6 +163,7 @@
   State& state = *this->state;
   state.generation++;
   state.phase = Phase::kTaking;
+  state.take_in_doubt = false;
   state.retry_call = nullptr;
   this->CallStore(ReadKey{store_keys::Sequence(this->cell_id)}, this->settings.take_timeout,
                   [this, expected_revision](const StoreReply& reply) {
@@ -226,7 +227,10 @@
   this->Log(
       EventCode::kTakeFailed,
       {{"cell", this->cell_id.str()}, {"answer", NameOf(reply.status)}, {"reason", reply.reason}});
-  if (reply.status == StoreStatus::kUnknown) {
+  // The refusal of a repetition says nothing of the attempts before.
+  const bool refused = reply.status == StoreStatus::kRefused;
+  state.take_in_doubt = reply.status == StoreStatus::kUnknown || (refused && state.take_in_doubt);
+  if (state.take_in_doubt) {
     // The transaction may still take effect. OnTaken() recognises the effect of an identical
     // repetition by its value. A different transaction could take effect in addition.
     state.phase = Phase::kTaking;
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -138,6 +138,7 @@
     std::uint64_t sequence_revision = 0;  ///< revision of the last commit, or of the take
     OwnerRecord owner_record;             ///< written to the owner key
     LeaseBounds inherited_bounds;         ///< in the sequence key when the cell was taken
+    bool take_in_doubt = false;           ///< an attempt of the present take has had no answer
     TimePoint take_sent_at{};             ///< when the last take of the cell was sent
     TimePoint taken_at{};                 ///< last tick before the answer that it was taken
     std::uint64_t lease = 0;              ///< lease of this host; 0 if there is none
