Take a late end as done as the task's, and stop its later run first

Cause: the done end of an earlier run was dropped, yet acknowledged, once a later run had been sent. If that one then ended otherwise, the task ran again.

The end now counts for its task whichever run it names (Task::done_run, also in the progress record). The later run is stopped, keeps its resources until it has ended, and the task is done then. The same holds for gangs, and a failure or crash of the later run counts no more. The event late-end tells of such ends, which were not logged.

--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -54,6 +54,7 @@
   kSubmissionLeaves = 3115,
   kSubmissionStays = 3116,
   kStopLate = 3117,
+  kLateEnd = 3118,
   kWorkDelayed = 3120,
   kRunPreempted = 3121,
   kTargetListed = 3201,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -65,6 +65,10 @@
        "the fields describe the first of `runs`, and each submission is counted once. With an "
        "old answer, the target does not answer; with a recent one, its stops get lost or are not "
        "carried out."},
+      {EventCode::kLateEnd, Severity::kInfo, "late-end",
+       "A target reported the end of a run that is not the present one of its task. If it ended as "
+       "done, the task is done: `effect` is completed if the task had no later run, and "
+       "later-run-stopped if one is being stopped first. Otherwise the end changes nothing."},
       {EventCode::kWorkDelayed, Severity::kInfo, "work-delayed",
        "Room is scarce, and a submission waits for others: with the reason given-up, since not all "
        "can be in time and it has less value per core-second left; with set-aside, since it can "
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -103,6 +103,14 @@
       this->RequeueRunsOfReplacedTargets(target.entry, now);
     }
   }
+  for (auto& [id, target] : this->targets) {
+    for (const TaskKey& key : target.tasks) {
+      Task& task = *this->FindSubmission(key.submission)->FindTask(key);
+      if (task.done_run != 0) {
+        this->BeginStop(key, &task, StopReason::kCompleted, now);
+      }
+    }
+  }
   const auto cancels = std::exchange(this->early_cancels, {});
   for (const auto& [id, source] : cancels) {
     this->Cancel(id, source, now);
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -353,9 +353,16 @@
 
   // Lists of running and finished runs (cell_lists.cc).
   void HandleFinishedRun(Target* target, const FinishedRun& end, TimePoint now);
-  /// Marks a task as done whose earlier run has ended successfully although its lease was thought
-  /// to have expired. Does nothing once a start of a later run may have been sent.
-  void CompleteFromLateEnd(Submission* submission, Task* task, const FinishedRun& end);
+  /// Handles the end of a run that is not the current one of its task, such as that of a run whose
+  /// lease was thought to have expired. If it ended as done, its task is done.
+  void HandleLateEnd(const TargetId& target, Submission* submission, Task* task,
+                     const FinishedRun& end, TimePoint now);
+  /// Marks a task without a run as done. If it has one, the run is stopped first, since it uses
+  /// resources until it has ended. \returns true if it has one.
+  bool CompleteOrStop(Submission* submission, const TaskKey& key, Task* task, RunNumber done_run,
+                      TimePoint now);
+  /// Marks a task as done and releases its resources.
+  void FinishTask(Submission* submission, const TaskKey& key, Task* task);
   /// Marks the task of a successful run as done; for a gang, all of its tasks.
   void CompleteTask(Submission* submission, const FinishedRun& end);
   /// Counts a failed run against its target and task; the submission fails at `max_attempts`.
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -98,7 +98,8 @@
   for (internal::LostRun& run : *runs) {
     Submission* submission = this->FindSubmission(run.task.submission);
     Task* task = submission == nullptr ? nullptr : submission->FindTask(run.task);
-    if (task == nullptr || task->phase == TaskPhase::kDone || submission->Ended()) {
+    const bool over = task == nullptr || task->phase == TaskPhase::kDone || task->done_run != 0;
+    if (over || submission->Ended()) {
       continue;
     }
     CrashRecord& record = task->crash_record;
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -118,7 +118,7 @@
   const bool is_current = task != nullptr && task->HoldsResources() && task->run == end.run &&
                           task->incarnation == target->CurrentIncarnation();
   if (!is_current) {
-    this->CompleteFromLateEnd(submission, task, end);
+    this->HandleLateEnd(target->entry.id, submission, task, end, now);
     return;
   }
   const StepSpec& spec = submission->Step(end.task.step);
@@ -147,7 +147,7 @@
     this->CompleteTask(submission, end);
     return;
   }
-  const bool failed = end.outcome == RunOutcome::kFailed;
+  const bool failed = end.outcome == RunOutcome::kFailed && task->done_run == 0;
   this->counts.ends_failed += failed ? 1 : 0;
   this->counts.ends_other += !failed && end.outcome != RunOutcome::kDone ? 1 : 0;
   if (failed) {
@@ -163,21 +163,54 @@
   this->EndIfFinished(submission);
 }
 
-void Cell::CompleteFromLateEnd(Submission* submission, Task* task, const FinishedRun& end) {
-  if (task == nullptr || end.outcome != RunOutcome::kDone || end.run > task->run) {
-    return;
-  }
-  const StepSpec& spec = submission->Step(end.task.step);
-  const bool no_run = task->phase == TaskPhase::kWaiting || task->IsUnsent();
-  if (!no_run || spec.gang || spec.long_running || submission->Ended()) {
-    return;
+void Cell::HandleLateEnd(const TargetId& target, Submission* submission, Task* task,
+                         const FinishedRun& end, TimePoint now) {
+  const char* effect = "none";
+  const TaskPhase phase = task == nullptr ? TaskPhase::kDone : task->phase;
+  const RunNumber latest_run = task == nullptr ? 0 : task->run;
+  const bool completes = phase != TaskPhase::kDone && end.outcome == RunOutcome::kDone &&
+                         !submission->Ended() && !submission->Step(end.task.step).long_running;
+  if (completes) {
+    // The successful end of one member of a gang completes all of them.
+    const StepSpec& spec = submission->Step(end.task.step);
+    const std::uint32_t first = spec.gang ? 0 : end.task.index;
+    const std::uint32_t last = spec.gang ? spec.count : end.task.index + 1;
+    StepProgress& step = submission->occurrences.at(end.task.occurrence).steps[end.task.step];
+    bool later_run = false;
+    for (std::uint32_t index = first; index < last; ++index) {
+      TaskKey key = end.task;
+      key.index = index;
+      later_run |= this->CompleteOrStop(submission, key, &step.tasks[index], end.run, now);
+    }
+    effect = later_run ? "later-run-stopped" : "completed";
+  }
+  this->Log(EventCode::kLateEnd, {{"task", end.task.str()},
+                                  {"run", std::to_string(end.run)},
+                                  {"target", target.str()},
+                                  {"how", NameOf(end.outcome)},
+                                  {"latest-run", std::to_string(latest_run)},
+                                  {"phase", task == nullptr ? "none" : NameOf(phase)},
+                                  {"effect", effect}});
+  if (completes) {
+    this->MarkDirty(end.task.submission);
+    this->EndIfFinished(submission);
+    this->schedule_due = true;
   }
-  this->Log(EventCode::kRunEnded, {{"task", end.task.str()},
-                                   {"run", std::to_string(end.run)},
-                                   {"how", NameOf(end.outcome)},
-                                   {"later-run", std::to_string(task->run)}});
-  task->run = end.run;
-  this->CompleteTask(submission, end);
+}
+
+bool Cell::CompleteOrStop(Submission* submission, const TaskKey& key, Task* task,
+                          RunNumber done_run, TimePoint now) {
+  if (task->phase == TaskPhase::kDone) {
+    return false;
+  }
+  if (task->phase == TaskPhase::kWaiting || task->IsUnsent()) {
+    task->run = done_run;
+    this->FinishTask(submission, key, task);
+    return false;
+  }
+  task->done_run = done_run;
+  this->BeginStop(key, task, StopReason::kCompleted, now);
+  return true;
 }
 
 void Cell::CompleteTask(Submission* submission, const FinishedRun& end) {
@@ -191,11 +224,7 @@
     key.index = index;
     Task& member = step.tasks[index];
     if (member.phase != TaskPhase::kDone && member.run == end.run) {
-      this->ReleaseResources(submission, key, &member);
-      step.waiting -= member.phase == TaskPhase::kWaiting ? 1 : 0;
-      member.phase = TaskPhase::kDone;
-      step.done++;
-      this->counts.ended_core_seconds += DeclaredCoreSeconds(spec);
+      this->FinishTask(submission, key, &member);
     }
   }
   this->MarkDirty(end.task.submission);
@@ -203,6 +232,15 @@
   this->schedule_due = true;
 }
 
+void Cell::FinishTask(Submission* submission, const TaskKey& key, Task* task) {
+  StepProgress& step = submission->occurrences.at(key.occurrence).steps[key.step];
+  this->ReleaseResources(submission, key, task);
+  step.waiting -= task->phase == TaskPhase::kWaiting ? 1 : 0;
+  task->phase = TaskPhase::kDone;
+  step.done++;
+  this->counts.ended_core_seconds += DeclaredCoreSeconds(submission->Step(key.step));
+}
+
 void Cell::RecordFailure(Target* target, Submission* submission, const TaskKey& key, Task* task,
                          TimePoint now) {
   task->failures++;
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -353,6 +353,13 @@
   if (!task->HoldsResources()) {
     return;
   }
+  if (task->done_run != 0) {
+    task->run = task->done_run;
+    this->FinishTask(submission, key, task);
+    this->MarkDirty(key.submission);
+    this->schedule_due = true;
+    return;
+  }
   this->ReleaseResources(submission, key, task);
   this->Log(EventCode::kTaskRequeued,
             {{"task", key.str()},
--- a/pistachio/process/scheduling/record_codec.cc
+++ b/pistachio/process/scheduling/record_codec.cc
@@ -145,6 +145,9 @@
   Json row = Json::array({static_cast<int>(task.phase), task.run, task.failures, task.checkpoint});
   if (task.HoldsResources()) {
     row.push_back(targets->IndexOf(task.incarnation));
+    if (task.done_run != 0) {
+      row.push_back(task.done_run);
+    }
   }
   return row;
 }
@@ -170,6 +173,7 @@
                         incarnation.at(1).get<std::uint64_t>(),
                         incarnation.size() > 2 ? incarnation.at(2).get<std::string>() : ""};
   }
+  task.done_run = row.size() > 5 ? row.at(5).get<RunNumber>() : 0;
   return task;
 }
 
--- a/pistachio/process/scheduling/submission.cc
+++ b/pistachio/process/scheduling/submission.cc
@@ -34,6 +34,8 @@
       return "moved";
     case StopReason::kGangBroken:
       return "gang-broken";
+    case StopReason::kCompleted:
+      return "completed";
     case StopReason::kPreempted:
       return "preempted";
   }
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -47,6 +47,7 @@
   kUnconfirmedStart,  ///< unknown whether the run has started
   kMoved,             ///< the task is to run on another target
   kGangBroken,        ///< another member of its gang ended
+  kCompleted,         ///< an earlier run of the task has ended as done
   kPreempted          ///< a long-running task without a place needs its resources
 };
 
@@ -81,6 +82,9 @@
   std::uint32_t failures = 0;     ///< number of failed runs
   std::string checkpoint;         ///< last reported checkpoint; empty if there is none
   CrashRecord crash_record;       ///< of the targets that crashed under the task
+  /// Another run that has ended as done while the current one held resources; 0 if there is none.
+  /// The task is done once the current run has ended, however it ends.
+  RunNumber done_run = 0;
 
   // The fields below are not stored. A new owner of the cell gets them from the target's replies.
   StopReason stop_reason = StopReason::kNone;
