Log the length of a run that an earlier owner started as unknown

Operators saw run-ended with after-ms=: the start time of a run that the present owner has not seen begin is unset and was subtracted all the same.

The field says unknown then.

--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -122,12 +122,13 @@
     return;
   }
   const StepSpec& spec = submission->Step(end.task.step);
+  const bool dated = task->started_at != TimePoint{};
   this->Log(EventCode::kRunEnded,
             {{"task", end.task.str()},
              {"run", std::to_string(end.run)},
              {"target", target->entry.id.str()},
              {"how", NameOf(end.outcome)},
-             {"after-ms", std::to_string((now - task->started_at).count() / 1000)},
+             {"after-ms", dated ? MillisecondsText(now - task->started_at) : "unknown"},
              {"paced", std::to_string(task->pace)}});
   task->run_seen_at = now;
   // Without serving tasks there, nobody would remove it again.
--- a/tests/scheduling/run_ends_test.cc
+++ b/tests/scheduling/run_ends_test.cc
@@ -163,5 +163,27 @@
   CHECK_FALSE(runs.fixture.Take<StopOrder>());
 }
 
+// The log told the time since the epoch of the process's clock.
+TEST_CASE("the length of a run that an earlier owner started is logged as unknown",
+          "[cell][run_ends]") {
+  CellFixture fixture;
+  ConfirmStart(&fixture, fixture.PlaceTask());
+  fixture.ChangeOwner();
+  fixture.Advance(milliseconds(10));
+  fixture.cell.TakeEvents();
+  HoldReply ended = fixture.Reply();
+  ended.finished.push_back(FinishedRun{1, kTask, 1, RunOutcome::kDone, ""});
+  fixture.AnswerHold(ended);
+  for (const EventRecord& event : fixture.cell.TakeEvents()) {
+    for (const auto& [name, value] : event.fields) {
+      if (name == "after-ms" && event.code == EventCode::kRunEnded) {
+        CHECK(value == "unknown");
+        return;
+      }
+    }
+  }
+  FAIL("no end was logged");
+}
+
 }  // namespace
 }  // namespace pistachio
