--- a/pistachio/connection/http/http_types.h
+++ b/pistachio/connection/http/http_types.h
@@ -24,9 +24,9 @@
   HttpHeaders headers;
   std::string body;
   Duration timeout = std::chrono::seconds(2);  ///< for the whole call, connecting included
-  /// The request is sent at most once. Otherwise libcurl sends it again if a reused connection closes
-  /// without an answer, and the result is that of the repetition, which tells nothing of the first
-  /// request: that one may have been carried out.
+  /// The request is sent at most once. Otherwise libcurl sends it again if a reused connection
+  /// closes without an answer, and the result is that of the repetition, which tells nothing of the
+  /// first request: that one may have been carried out.
   bool send_once = false;
   /// The request is not sent, nor sent again, from then on; the call fails with kNotSent unless an
   /// earlier attempt may have reached the server.
