Log where the submission of a late end is, and count the ends that are dropped

Cause: 'late-end' could not tell an end of a submission that has moved to another cell from one of a deleted submission, nor an end during the write of a move from any other late end, and no counter had the ends as done that are dropped.

Change: the event has the field 'submission' (here, moving, moved, unknown), and the metrics have dropped_ends. No decision changes.

--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -68,7 +68,9 @@
       {EventCode::kLateEnd, Severity::kInfo, "late-end",
        "A target reported the end of a run that is not the present one of its task. If it ended as "
        "done, the task is done: `effect` is completed if the task had no later run, and "
-       "later-run-stopped if one is being stopped first. Otherwise the end changes nothing."},
+       "later-run-stopped if one is being stopped first. Otherwise the end changes nothing. "
+       "`submission` is here, moving while the write that moves it to another cell is open, moved "
+       "if this owner has moved it, or unknown."},
       {EventCode::kWorkDelayed, Severity::kInfo, "work-delayed",
        "Room is scarce, and a submission waits for others: with the reason given-up, since not all "
        "can be in time and it has less value per core-second left; with set-aside, since it can "
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -357,6 +357,9 @@
   /// lease was thought to have expired. If it ended as done, its task is done.
   void HandleLateEnd(const TargetId& target, Submission* submission, Task* task,
                      const FinishedRun& end, TimePoint now);
+  /// \returns where the submission is, for the log: `here`, `moving` while the write that moves it
+  ///   is open, `moved` to another cell by this owner, or `unknown`.
+  const char* WhereaboutsOf(const SubmissionId& id) const;
   /// Marks a task without a run as done. If it has one, the run is stopped first, since it uses
   /// resources until it has ended. \returns true if it has one.
   bool CompleteOrStop(Submission* submission, const TaskKey& key, Task* task, RunNumber done_run,
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -191,7 +191,10 @@
                                   {"how", NameOf(end.outcome)},
                                   {"latest-run", std::to_string(latest_run)},
                                   {"phase", task == nullptr ? "none" : NameOf(phase)},
+                                  {"submission", this->WhereaboutsOf(end.task.submission)},
                                   {"effect", effect}});
+  const bool dropped = task == nullptr && end.outcome == RunOutcome::kDone;
+  this->counts.dropped_ends += dropped ? 1 : 0;
   if (completes) {
     this->MarkDirty(end.task.submission);
     this->EndIfFinished(submission);
@@ -199,6 +202,14 @@
   }
 }
 
+const char* Cell::WhereaboutsOf(const SubmissionId& id) const {
+  const auto found = this->all_submissions.find(id);
+  if (found != this->all_submissions.end()) {
+    return found->second.moving ? "moving" : "here";
+  }
+  return this->moved_away.count(id) != 0 ? "moved" : "unknown";
+}
+
 bool Cell::CompleteOrStop(Submission* submission, const TaskKey& key, Task* task,
                           RunNumber done_run, TimePoint now) {
   if (task->phase == TaskPhase::kDone) {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -222,6 +222,7 @@
   std::uint64_t set_aside = 0;  ///< submissions that waited since they could earn nothing any more
   std::uint64_t given_up = 0;   ///< submissions that waited since others were chosen to be in time
   std::uint64_t orphaned_runs = 0;  ///< reported runs that no task of the cell accounted for
+  std::uint64_t dropped_ends = 0;   ///< ends as done of tasks that the cell does not have
   std::uint64_t late_stops = 0;     ///< runs of cancelled submissions logged as late to end
   std::uint64_t preemptions = 0;    ///< runs stopped to free reserved resources
   /// Declared work of completed tasks that are not long-running, in core-seconds.
