Keep the forwarding of ends from being lost or held up

An end was acknowledged without an effect if its submission came back to the cell in the same batch of replies as the read of its assignment. One of a submission that the own cell cannot read was held for good while others write to the store, as the inbox was compared with the store's revision and not with that of the assignment. Sixteen ends for a cell without an owner kept all others back.

The code on foreign ends has a file of its own.

--- a/pistachio/process/ownership/end_forwarder.cc
+++ b/pistachio/process/ownership/end_forwarder.cc
@@ -1,5 +1,6 @@
 #include "pistachio/process/ownership/end_forwarder.h"
 
+#include <algorithm>
 #include <set>
 
 #include "pistachio/process/ownership/store_keys.h"
@@ -14,11 +15,14 @@
   for (auto open = this->open_ends.begin(); open != this->open_ends.end();) {
     open = wanted.count(open->first) == 0 ? this->open_ends.erase(open) : std::next(open);
   }
+  auto writing = static_cast<std::size_t>(
+      std::count_if(this->open_ends.begin(), this->open_ends.end(),
+                    [](const auto& open) { return open.second.step != Step::kAwaitRemoval; }));
   for (const ForwardedEnd& end : wanted) {
-    if (this->open_ends.size() >= this->settings.max_open) {
+    if (writing >= this->settings.max_writing) {
       break;
     }
-    this->open_ends.emplace(end, OpenEnd{});
+    writing += this->open_ends.emplace(end, OpenEnd{}).second ? 1 : 0;
   }
 }
 
@@ -68,9 +72,10 @@
       open.destination = CellId(reply.items.front().value);
       open.assignment_revision = reply.items.front().revision;
       if (open.destination == own_cell) {
-        // The cell would know the submission, unless its record cannot be read.
+        // The record came to the inbox with the assignment. If the cell has read it and does not
+        // know the submission, no owner of this version can read the record.
         this->Restart(&open, now);
-        return inbox_revision >= reply.revision;
+        return inbox_revision >= open.assignment_revision;
       }
       open.step = Step::kWrite;
       return false;
@@ -82,11 +87,12 @@
         return false;
       }
       open.step = Step::kAwaitRemoval;
-      open.next_call_at = now + this->settings.poll_interval;
+      open.poll_interval = this->settings.poll_interval;
+      open.next_call_at = now + open.poll_interval;
       return false;
     case Step::kAwaitRemoval:
-      open.next_call_at =
-          now + (answered ? this->settings.poll_interval : this->settings.retry_delay);
+      open.poll_interval = std::min(open.poll_interval * 2, this->settings.max_poll_interval);
+      open.next_call_at = now + open.poll_interval;
       return reply.status == StoreStatus::kMissing;
   }
   return false;
--- a/pistachio/process/ownership/end_forwarder.h
+++ b/pistachio/process/ownership/end_forwarder.h
@@ -11,11 +11,13 @@
 
 /// \brief Limits and intervals of the delivery of ends to other cells.
 struct EndForwarderSettings {
-  /// Most ends under way at a time. After a cut, a cell may read hundreds at once.
-  std::size_t max_open = 16;
-  /// Interval between reads that ask whether the other owner has stored the effect. It covers one
-  /// of that owner's lazy commits.
+  /// Most ends that are being written at a time. After a cut, a cell may read hundreds at once.
+  /// Those that wait for another owner don't count, as its cell may have none for long.
+  std::size_t max_writing = 16;
+  /// Delay of the first read that asks whether the other owner has stored the effect. It covers one
+  /// of that owner's lazy commits. It doubles with each further read.
   Duration poll_interval = std::chrono::milliseconds(150);
+  Duration max_poll_interval = std::chrono::milliseconds(1200);
   /// Delay after a call without success.
   Duration retry_delay = std::chrono::milliseconds(100);
 };
@@ -62,6 +64,7 @@
     std::uint64_t assignment_revision = 0;  ///< of the submission's assigned cell
     bool in_flight = false;
     TimePoint next_call_at{};
+    Duration poll_interval{0};  ///< delay of the next read of the step `kAwaitRemoval`
   };
 
   /// Begins anew with a read of the assignment.
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -369,19 +369,6 @@
   /// lease was thought to have expired. If it ended as done, its task is done.
   /// \param target that reported the end; null if the owner of another cell forwarded it
   void HandleLateEnd(Target* target, const FinishedRun& end, TimePoint now);
-  /// \returns true if an end as done of the task is to wait for the owner of another cell: the
-  ///   submission is not in this cell, or a write that moves it is open and may take effect.
-  bool IsForeignEnd(const FinishedRun& end);
-  /// Handles the foreign ends of submissions that are in the cell after all, since the write of
-  /// their move was rejected or since they have come back.
-  void ApplyLocalEnds(TimePoint now);
-  /// Forgets a foreign end whose effects are in the store, or are in the next commit.
-  void SettleForeignEnd(const ForwardedEnd& end, TimePoint now);
-  /// \returns the highest end number of the target up to which no end waits for another cell.
-  static std::uint64_t LastLocalEnd(const Target& target);
-  /// \returns where the submission is, for the log: `here`, `moving` while the write that moves it
-  ///   is open, `moved` to another cell by this owner, or `unknown`.
-  const char* WhereaboutsOf(const SubmissionId& id) const;
   /// Marks a task without a run as done. If it has one, the run is stopped first, since it uses
   /// resources until it has ended. \returns true if it has one.
   bool CompleteOrStop(Submission* submission, const TaskKey& key, Task* task, RunNumber done_run,
@@ -409,6 +396,21 @@
   void CheckProgress(Target* target, const RunningRun& row, Submission* submission, Task* task,
                      TimePoint now);
 
+  // Ends of tasks that another cell has, see docs/design/moves.md (cell_foreign_ends.cc).
+  /// \returns true if an end as done of the task is to wait for the owner of another cell: the
+  ///   submission is not in this cell, or a write that moves it is open and may take effect.
+  bool IsForeignEnd(const FinishedRun& end);
+  /// Handles the foreign ends of submissions that are in the cell after all, since the write of
+  /// their move was rejected or since they have come back.
+  void ApplyLocalEnds(TimePoint now);
+  /// Forgets a foreign end whose effects are in the store, or are in the next commit.
+  void SettleForeignEnd(const ForwardedEnd& end, TimePoint now);
+  /// \returns the highest end number of the target up to which no end waits for another cell.
+  static std::uint64_t LastLocalEnd(const Target& target);
+  /// \returns where the submission is, for the log: `here`, `moving` while the write that moves it
+  ///   is open, `moved` to another cell by this owner, or `unknown`.
+  const char* WhereaboutsOf(const SubmissionId& id) const;
+
   // Sharing of a target between serving and best-effort tasks (cell_sharing.cc). A best-effort task
   // has `StepSpec::best_effort` set and uses the processors that other tasks leave idle.
   std::vector<std::pair<TaskKey, Task*>> BestEffortTasksOn(const Target& target);
--- a/tests/scheduling/forwarded_ends_test.cc
+++ b/tests/scheduling/forwarded_ends_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "pistachio/process/scheduling/types.h"
+#include "pistachio/process/scheduling/record_codec.h"
 #include "tests/scheduling/cell_fixture.h"
 
 namespace pistachio {
@@ -122,6 +122,32 @@
   REQUIRE(second->settled_ends.size() == 1);
 }
 
+// The end was acknowledged without an effect, and the task started again.
+TEST_CASE("an end of a submission that has come back while it was being forwarded counts here",
+          "[cell][forwarded_ends]") {
+  CellFixture fixture;
+  fixture.Advance(milliseconds(1));
+  const std::vector<FinishedRun> ended{{1, kTask, 1, RunOutcome::kDone, ""}};
+  REQUIRE(AnswerHolds(&fixture, seconds(1), ended) == 0);
+  REQUIRE(fixture.cell.EndsToForward().size() == 1);
+  // As it comes back with its progress: run 1 was given up.
+  CellFixture before;
+  OrderReply started;
+  started.status = OrderStatus::kDone;
+  before.cell.OnOrderReply(before.PlaceTask(), started, before.now);
+  before.LoseOrdersUntil(before.now + seconds(10));
+  Submission submission = before.cell.submissions().at(kSubmission);
+  REQUIRE(submission.occurrences.at(0).steps[0].tasks[0].phase == TaskPhase::kWaiting);
+  AcceptedSubmission accepted = fixture.Accepted();
+  accepted.moves = 2;
+  accepted.progress = EncodeProgress(submission);
+  fixture.cell.Accept(accepted, 60, fixture.now);
+  fixture.cell.OnEndForwarded({kTask, 1}, fixture.now);
+  REQUIRE(AnswerHolds(&fixture, seconds(1), ended) == 1);
+  REQUIRE(fixture.cell.submissions().at(kSubmission).State() == SubmissionState::kCompleted);
+  REQUIRE_FALSE(fixture.Take<StartOrder>());
+}
+
 TEST_CASE("the text of a forwarded end can be read", "[cell][forwarded_ends]") {
   const auto read = ParseForwardedEnd(kEnd.str());
   REQUIRE(read);
