--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -384,7 +384,23 @@
   return count;
 }
 
+void RuleChecker::CheckRunsOfDoneTasks() {
+  for (const std::string& task : this->acknowledged_done) {
+    const auto found = this->running.find(task);
+    if (found == this->running.end()) {
+      continue;
+    }
+    for (const auto& [target, run] : found->second) {
+      std::string at_work = task;
+      at_work += " run " + std::to_string(run.number) + " is at work on " + target +
+                 " at the end although an end as done of its task was acknowledged";
+      this->AddViolation("TWICE", at_work);
+    }
+  }
+}
+
 void RuleChecker::CheckAtEnd() {
+  this->CheckRunsOfDoneTasks();
   for (const auto& [id, at] : this->accepted_ids) {
     const SubmissionRecord& submission = this->submissions.at(id);
     const bool is_long_running = submission.spec.steps.front().long_running;
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -62,7 +62,11 @@
              const std::string& checkpoint);
   /// A run has saved a checkpoint. An empty name is ignored.
   void OnCheckpoint(const TaskKey& task, const std::string& checkpoint);
-  /// An owner has acknowledged the end of a run to the target.
+  /// \brief An owner has acknowledged the end of a run to the target.
+  ///
+  /// After that of an end as done, every start of the task breaks the rule TWICE, whatever its
+  /// lease was. A run of it that is at work then must be stopped or end: CheckAtEnd() reports the
+  /// others.
   void OnEndAcknowledged(const TaskKey& task, RunNumber run, RunOutcome outcome);
   /// A target has crashed and all its runs are gone. Counts as a crash under each of their tasks.
   void OnTargetCrashed(const std::string& target);
@@ -82,8 +86,9 @@
                      const std::vector<std::string>& cancel_cells);
 
   /// \brief Checks that every accepted submission is complete, except those that were cancelled,
-  /// were last reported as failed, have a deadly task or are long-running. Call it after all faults
-  /// are over and the work had time to finish.
+  /// were last reported as failed, have a deadly task or are long-running, and that no task is at
+  /// work of which an end as done was acknowledged. Call it after all faults are over and the work
+  /// had time to finish.
   void CheckAtEnd();
 
   /// \returns the violations, one line each, in the form "RULE: description".
@@ -136,6 +141,8 @@
     TimePoint last_start = TimePoint::min();  ///< before the end of the evacuation
   };
 
+  /// Reports each run that is at work although an end as done of its task was acknowledged.
+  void CheckRunsOfDoneTasks();
   void AddViolation(const std::string& rule, const std::string& description);
   /// \returns true if \a task, in the form of TaskKey::str(), belongs to the submission.
   static bool IsTaskOf(const std::string& task, const SubmissionId& id);
--- a/tests/emulator/cluster_faults.h
+++ b/tests/emulator/cluster_faults.h
@@ -70,6 +70,38 @@
   }
 }
 
+/// Resumes every host. \param tick_first see SimulatedCluster::ResumeHost
+inline void ResumeHosts(SimulatedCluster* cluster, bool tick_first) {
+  for (const std::string& host : cluster->hosts()) {
+    cluster->ResumeHost(host, tick_first);
+  }
+}
+
+/// Ends the evacuation of every data centre.
+inline void EndEvacuations(SimulatedCluster* cluster) {
+  for (const char* data_centre : {"north", "south"}) {
+    cluster->EndEvacuation(data_centre);
+  }
+}
+
+/// Ends all faults and evacuations. Every host runs and every target is registered and ready.
+inline void EndAllFaults(SimulatedCluster* cluster) {
+  cluster->store_faults = StoreFaults{};
+  cluster->order_faults = OrderFaults{};
+  EndEvacuations(cluster);
+  ResumeHosts(cluster, true);
+  StartMissingHosts(cluster);
+  for (const std::string& target : cluster->targets()) {
+    cluster->target(target).faults = TargetFaults{};
+    const FakeTarget& fake_target = cluster->target(target);
+    if (!fake_target.up || fake_target.entry.state == TargetState::kDraining) {
+      cluster->RestartTarget(target);
+    } else {
+      cluster->RegisterTarget(target);
+    }
+  }
+}
+
 /// Ends the faults of store and orders, resumes \a suspended_host and starts the hosts that are not
 /// running.
 inline void EndFaults(SimulatedCluster* cluster, const std::string& suspended_host) {
