Give requests that are open at a stop no promise

Cause: HttpServer::Stop answered 503, "not accepted and never runs", to requests that its handler had not got. That is true of the request, but not of an earlier attempt of the same submission that another host has stored.

Change: all open requests get 504.

--- a/pistachio/connection/http/http_server.cc
+++ b/pistachio/connection/http/http_server.cc
@@ -62,11 +62,11 @@
   return queued;
 }
 
-/// \returns the answer to requests that are open when the server stops.
-/// \param handled the handler has the request, so it may have taken effect, or may do so later
-ServedAnswer StoppingAnswer(bool handled) {
+/// \returns the answer to requests that are open when the server stops. It promises nothing: the
+/// handler may have the request, and an earlier attempt of it may have taken effect elsewhere.
+ServedAnswer StoppingAnswer() {
   ServedAnswer answer;
-  answer.status = handled ? MHD_HTTP_GATEWAY_TIMEOUT : MHD_HTTP_SERVICE_UNAVAILABLE;
+  answer.status = MHD_HTTP_GATEWAY_TIMEOUT;
   answer.body = R"({"error":"stopping"})";
   return answer;
 }
@@ -179,7 +179,7 @@
     if (this->stopping) {
       // Answers at once, because libmicrohttpd aborts the process if it is stopped while a
       // connection is suspended.
-      return internal::QueueAnswer(connection, internal::StoppingAnswer(false));
+      return internal::QueueAnswer(connection, internal::StoppingAnswer());
     }
     exchange.dispatched = true;
     exchange.suspended = true;
@@ -303,7 +303,7 @@
     }
   }
   for (const ExchangeId id : handled) {
-    this->Answer(id, internal::StoppingAnswer(true));
+    this->Answer(id, internal::StoppingAnswer());
   }
   this->state->WaitUntilClosed(open);
   MHD_stop_daemon(this->state->daemon);
--- a/pistachio/connection/http/http_server.h
+++ b/pistachio/connection/http/http_server.h
@@ -60,8 +60,8 @@
   /// \brief Answers all open requests, waits up to 2 s until the answers are sent, and stops the
   /// threads. Further calls do nothing.
   ///
-  /// A request that the handler has not got is answered with status 503 and has no effect. One that
-  /// it has got and not answered may have taken effect, and is answered with status 504.
+  /// They are answered with status 504, which promises nothing: one that the handler has got may
+  /// have taken effect, and an earlier attempt of any may have taken effect at another server.
   void Stop();
 
   /// \returns why Listen() failed; empty if it did not.
