Let writes wait for the store however long an outage has lasted

Cause: a write failed at once if the outage had lasted longer than its caller would wait.

Result: "during an outage nothing is sent, and a long outage fails a read at once" checks both.

--- a/pistachio/request/store_retries.cc
+++ b/pistachio/request/store_retries.cc
@@ -38,7 +38,8 @@
     done(internal::RefusedReply("stopping"), false);
   } else if (this->callbacks.is_store_reachable()) {
     this->Attempt(std::move(pending));
-  } else if (this->callbacks.store_outage_duration() >= deadline.retry_until - this->now) {
+  } else if (!WritesKeys(call) &&
+             this->callbacks.store_outage_duration() >= deadline.retry_until - this->now) {
     done(pending.last_reply, false);
   } else {
     this->WaitOrFail(std::move(pending), this->settings.first_pause);
--- a/pistachio/request/store_retries.h
+++ b/pistachio/request/store_retries.h
@@ -50,8 +50,9 @@
 /// Designed for a store that refuses a part of its calls for some seconds, or all of them for a
 /// moment: a refused caller may not come back. A call that the store refuses or does not answer is
 /// sent again after a growing pause. While the store is unreachable, nothing is sent, so that no
-/// write becomes in doubt; if the outage has already lasted longer than the caller waits, the call
-/// fails at once, since an outage is expected to last as long again as it has lasted.
+/// write becomes in doubt. If the outage has already lasted longer than the caller waits, a read
+/// fails at once, since an outage is expected to last as long again as it has lasted. A write waits
+/// all the same: its failure promises the caller nothing, so the caller would only ask again.
 class StoreRetries {
  public:
   /// Functions of the process that the repetitions depend on.
