Close submissions in the store before they are refused

Seen: 503 and 429 for submissions that were stored or were stored later.

Cause: a refusal promises that no attempt runs, and rested on what one process remembers of its own attempts, or on a read that a write on its way overtakes. Another host, or the same one restarted, knows nothing of either.

Change: a host refuses only after it has written closed/ID on the condition that id/ID does not exist (SubmissionCloser). The write of a submission has the revision of that key as a precondition, so writes of earlier attempts fail from then on, and a later attempt opens the submission with the revision that it learns from the conflict, if the closing came before it. Where the store does not decide in time, the answer is 504. A process that has just started lets requests wait 0.5 s for its configuration, and says 503 only if the store certainly has none. The memory of one's own attempts (in_doubt_until, open_writes, max_write_delay) is gone.

--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -73,6 +73,7 @@
                       [this, call, callback, sent_at = this->now](const StoreReply& reply) {
                         this->monitor.OnReply(reply, this->now);
                         this->revision_clock.OnReply(call, reply, sent_at, this->now);
+                        this->newest_revision = std::max(this->newest_revision, reply.revision);
                         callback(reply);
                       });
   };
@@ -113,6 +114,7 @@
   };
   callbacks.is_store_reachable = [this] { return this->monitor.reachable(); };
   callbacks.store_outage_duration = [this] { return this->monitor.UnreachableFor(this->now); };
+  callbacks.newest_revision = [this] { return this->newest_revision; };
   callbacks.on_newer_configuration = [this](const StoreItem& item) { this->OnConfiguration(item); };
   this->request_handler = std::make_unique<RequestHandler>(settings.request_handler, callbacks);
 }
@@ -171,6 +173,7 @@
   this->targets->SetChangePause(needs_fresh_targets ? this->settings.owner_targets_watch_pause
                                                     : this->settings.idle_targets_watch_pause);
   this->request_handler->Tick(tick_now);
+  this->HandleWaitingRequests(false);
   this->SendOrders();
   this->LogEvacuationsAge();
   this->LogTrafficCounts();
@@ -328,14 +331,45 @@
 
 void Node::Handle(const Decode& decode, const RequestHandler::AnswerCallback& done,
                   TimePoint handled_at) {
-  this->HandleWithRetries(decode, done, std::max(this->now, handled_at),
-                          internal::kMaxHandleAttempts);
+  const TimePoint arrived_at = std::max(this->now, handled_at);
+  if (!this->KnowsConfiguration() && !this->requests_ending &&
+      this->without_configuration.size() < this->settings.max_configuration_waiters) {
+    this->without_configuration.push_back(WaitingRequest{decode, done, arrived_at});
+    return;
+  }
+  this->HandleWithRetries(decode, done, arrived_at, internal::kMaxHandleAttempts);
+}
+
+bool Node::KnowsConfiguration() const {
+  return this->active_configuration.configuration->version != 0 || this->configurations->loaded();
+}
+
+void Node::HandleWaitingRequests(bool wait_over) {
+  const bool known = this->KnowsConfiguration();
+  while (!this->without_configuration.empty() &&
+         (known || wait_over ||
+          this->now - this->without_configuration.front().arrived_at >=
+              this->settings.max_configuration_wait)) {
+    const WaitingRequest request = std::move(this->without_configuration.front());
+    this->without_configuration.pop_front();
+    this->HandleWithRetries(request.decode, request.done, request.arrived_at,
+                            internal::kMaxHandleAttempts);
+  }
+}
+
+void Node::EndRequests(TimePoint end_at) {
+  this->requests_ending = true;
+  this->HandleWaitingRequests(true);
+  this->request_handler->BeginStop(end_at);
 }
 
 void Node::HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
                              TimePoint arrived_at, int attempts_left) {
   const CallerRequest request = decode(*this->active_configuration.configuration);
   this->active_configuration.confirmed_at = this->configurations->confirmed_at();
+  this->active_configuration.known_missing =
+      this->configurations->loaded() &&
+      this->configurations->items().count(this->documents.configuration_key) == 0;
   this->request_handler->Handle(
       request, this->active_configuration, *this->cluster_view, arrived_at, this->wall,
       [this, decode, done, arrived_at, attempts_left](const CallerAnswer& answer) {
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -61,6 +61,11 @@
   /// See `MirrorSettings::cut_off_extension`. The configuration alone may be large. The copies of
   /// targets and submissions must not be as old, because starts depend on them.
   std::chrono::milliseconds configuration_cut_off_extension{4000};
+  /// Longest time for which requests wait for the first configuration of a process that has just
+  /// started. It is read within some tens of milliseconds if the store answers.
+  Duration max_configuration_wait = std::chrono::milliseconds(500);
+  /// Most requests that wait for it.
+  std::size_t max_configuration_waiters = 256;
   std::chrono::milliseconds hosts_watch_wait{1500};
   std::chrono::milliseconds targets_watch_wait{1500};
   /// Pauses after a watch that returned changes. Each target and each cell owner writes its key
@@ -140,9 +145,11 @@
   void BeginStop();
   /// \brief Answers the callers that wait, see RequestHandler::BeginStop(). Called after
   /// BeginStop(), once callers have learned that this host is not ready.
-  void EndRequests(TimePoint end_at) { this->request_handler->BeginStop(end_at); }
+  void EndRequests(TimePoint end_at);
   /// \returns true if a caller's request waits for the store.
-  bool HasOpenRequests() const { return this->request_handler->HasOpenRequests(); }
+  bool HasOpenRequests() const {
+    return this->request_handler->HasOpenRequests() || !this->without_configuration.empty();
+  }
   /// \returns true if this host neither owns a cell nor is taking or releasing one.
   bool AllCellsReleased() const;
 
@@ -165,6 +172,17 @@
   }
 
  private:
+  /// A request that came before this process had a configuration to decode it with.
+  struct WaitingRequest {
+    Decode decode;
+    RequestHandler::AnswerCallback done;
+    TimePoint arrived_at;
+  };
+
+  /// \returns true once requests can be decoded, or it is known that there is no configuration.
+  bool KnowsConfiguration() const;
+  /// Handles the requests that waited for the configuration, once it is known or the wait is over.
+  void HandleWaitingRequests(bool wait_over);
   /// Handles a request. Repeats decoding and handling if the configuration changes meanwhile, until
   /// no attempt is left. \param arrived_at when the request arrived
   void HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
@@ -252,13 +270,16 @@
   std::map<CellId, SentToCell> sent_to_cells;
   std::deque<UnownedCell> unowned_cells;  ///< one for each cell if there are several
   ActiveConfiguration active_configuration;
-  TimePoint now{};   ///< time of the last tick
-  WallTime wall{0};  ///< wall-clock time of the last tick
+  std::deque<WaitingRequest> without_configuration;  ///< oldest first
+  std::uint64_t newest_revision = 0;  ///< latest store revision that a reply has shown
+  TimePoint now{};                    ///< time of the last tick
+  WallTime wall{0};                   ///< wall-clock time of the last tick
   /// Last tick at which this host's member record was not missing without a reason: the mirrored
   /// keys included it, the host had no lease, or the host began to write the record again.
   TimePoint last_listed_at{};
   TimePoint next_traffic_log{};
-  bool stopping = false;  ///< BeginStop() was called
+  bool stopping = false;         ///< BeginStop() was called
+  bool requests_ending = false;  ///< EndRequests() was called
   std::vector<EventRecord> events;
 };
 
--- a/pistachio/process/ownership/store_keys.h
+++ b/pistachio/process/ownership/store_keys.h
@@ -35,6 +35,10 @@
 /// Id of the cell that a submission is assigned to; written once, by the host that accepts the
 /// submission.
 inline std::string AssignedCell(const SubmissionId& id) { return "id/" + id.str(); }
+/// Marker that attempts of a submission were refused; written by the host that refuses, on the
+/// condition that the submission is not stored. Its lease removes it. The write of a submission
+/// requires the revision that its host knows, so earlier attempts cannot store it any more.
+inline std::string Closed(const SubmissionId& id) { return "closed/" + id.str(); }
 /// Prefix of the submissions, cancellations and ends of runs that any host writes for a cell's
 /// owner to read.
 inline std::string InboxPrefix(const CellId& cell) { return "in/" + cell.str() + "/"; }
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -10,8 +10,8 @@
 
 namespace internal {
 
-/// Maximum number of submissions whose cell is remembered, and of those whose unanswered write is:
-/// as many as a host handles in the time for which the store keeps an ended submission.
+/// Maximum number of submissions whose cell is remembered, and of those whose closing key is: as
+/// many as a host handles in the time for which the store keeps an ended submission.
 constexpr std::size_t kMaxRememberedSubmissions = 20000;
 /// Maximum number of cells to which a cancel follows a submission that is moved meanwhile.
 constexpr std::uint32_t kMaxCancelAttempts = 6;
@@ -44,12 +44,14 @@
       callbacks(std::move(callbacks)),
       store(settings.store, {this->callbacks.store, this->callbacks.is_store_reachable,
                              this->callbacks.store_outage_duration}),
+      closer(settings.closer, {this->callbacks.store, this->callbacks.is_store_reachable}),
       load_returns(settings.returns),
       store_returns(settings.returns) {}
 
 void RequestHandler::Tick(TimePoint tick_now) {
   this->now = tick_now;
   this->store.Tick(tick_now);
+  this->closer.Tick(tick_now);
   this->load_returns.DropExpired(tick_now);
   this->store_returns.DropExpired(tick_now);
 }
@@ -69,13 +71,16 @@
                             const ClusterView& view, TimePoint arrived_at, WallTime wall,
                             const AnswerCallback& done) {
   if (active_configuration.configuration->version == 0) {
-    done(this->Unavailable("no-configuration"));
+    done(active_configuration.known_missing
+             ? this->Unavailable("no-configuration")
+             : internal::MakeAnswer(Outcome::kInDoubt, "no-configuration"));
     return;
   }
   const bool outdated =
       arrived_at - active_configuration.confirmed_at > this->settings.max_configuration_age;
   const auto caller = [&](const auto& typed_request) {
-    return Caller{this->store.DeadlineOf(arrived_at, typed_request.caller_wait), done};
+    return Caller{this->store.DeadlineOf(arrived_at, typed_request.caller_wait), done,
+                  this->callbacks.newest_revision()};
   };
   if (const auto* submit = std::get_if<SubmitRequest>(&request)) {
     this->Submit(*submit, active_configuration, view, wall, caller(*submit));
@@ -88,7 +93,8 @@
   } else if (const auto* pending = std::get_if<PendingRequest>(&request)) {
     done(this->AnswerPending(pending->queue, arrived_at));
   } else if (std::holds_alternative<UnroutedRequest>(request)) {
-    done(outdated ? this->Unavailable("configuration-old")
+    // The request may be an attempt of a submission to a queue that another host knows.
+    done(outdated ? internal::MakeAnswer(Outcome::kInDoubt, "configuration-old")
                   : internal::MakeAnswer(Outcome::kNoSuchQueue));
   } else {
     const auto& malformed = std::get<MalformedRequest>(request);
@@ -132,28 +138,35 @@
   const auto cell = ChooseCell(candidates, DemandOf(request.spec), internal::FractionOf(request.id),
                                this->settings.cell_choice);
   if (!cell && !refusal) {
-    caller.done(this->AnswerOrInDoubt(request.id, this->Unavailable("no-targets")));
-    return;
+    refusal = this->Unavailable("no-targets");
   }
   if (!refusal && !candidates.front().forecast) {
     refusal = this->CheckBacklog(request, *cell, view);
   }
   if (refusal) {
-    this->RejectUnlessStored(request.id, *refusal, caller);
+    this->Refuse(request.id, *refusal, caller);
     return;
   }
   auto submission = std::make_shared<SubmissionWrite>();
   submission->accepted = AcceptedSubmission{request.id, request.queue, request.spec, wall, 0, ""};
   submission->cell = *cell;
+  const auto closed = this->closed_revisions.find(request.id);
+  submission->closed_revision = closed == this->closed_revisions.end() ? 0 : closed->second;
   // The revision of the configuration is a precondition, so a submission that a newer configuration
-  // forbids is not accepted. That of the id makes the write harmless when it is executed twice.
+  // forbids is not accepted. That of the id makes the write harmless when it is executed twice, and
+  // that of the closing key after a refusal.
   submission->write.preconditions = {
       {store_keys::AssignedCell(request.id), 0},
-      {active_configuration.source.key, active_configuration.source.revision}};
+      {active_configuration.source.key, active_configuration.source.revision},
+      {store_keys::Closed(request.id), submission->closed_revision}};
   submission->write.puts = {
       Put{store_keys::AssignedCell(request.id), cell->str(), 0},
       Put{store_keys::Accepted(*cell, request.id), EncodeAccepted(submission->accepted), 0}};
-  this->open_writes.insert(request.id);
+  this->SendSubmission(submission, caller);
+}
+
+void RequestHandler::SendSubmission(const std::shared_ptr<SubmissionWrite>& submission,
+                                    const Caller& caller) {
   this->store.Send(submission->write, caller.deadline,
                    [this, submission, caller](const StoreReply& reply, bool in_doubt) {
                      this->OnSubmitted(submission, reply, in_doubt, caller);
@@ -247,8 +260,9 @@
   return answer;
 }
 
-CallerAnswer RequestHandler::RefuseForStore(const SubmissionId& id, const std::string& reason) {
+CallerAnswer RequestHandler::UndecidedByStore(const SubmissionId& id, const std::string& reason) {
   CallerAnswer answer = this->Unavailable(reason);
+  answer.outcome = Outcome::kInDoubt;
   answer.retry_after = this->store_returns.Promise(
       id, 0, 1.0, this->settings.store_returns_per_second, *answer.retry_after, this->now);
   return answer;
@@ -257,7 +271,6 @@
 void RequestHandler::OnSubmitted(const std::shared_ptr<SubmissionWrite>& submission,
                                  const StoreReply& reply, bool in_doubt, const Caller& caller) {
   const SubmissionId& id = submission->accepted.id;
-  this->open_writes.erase(this->open_writes.find(id));
   if (reply.status == StoreStatus::kOk) {
     this->RememberCell(id, AssignedCell{submission->cell, reply.revision});
     this->callbacks.on_accepted(submission->cell, submission->accepted);
@@ -279,6 +292,11 @@
     caller.done(internal::MakeAnswer(Outcome::kAccepted, "known-before"));
     return;
   }
+  const StoreItem closed = FindItem(reply, store_keys::Closed(id));
+  if (closed.revision != submission->closed_revision) {
+    this->OnSubmissionClosed(submission, closed.revision, caller);
+    return;
+  }
   // The write would also need the earlier configuration, so an attempt in doubt has no effect.
   const StoreItem newer_configuration = FindItem(reply, submission->write.preconditions[1].key);
   if (newer_configuration.revision != 0) {
@@ -287,13 +305,25 @@
   caller.done(internal::MakeAnswer(Outcome::kConfigurationChanged));
 }
 
+void RequestHandler::OnSubmissionClosed(const std::shared_ptr<SubmissionWrite>& submission,
+                                        std::uint64_t closed_revision, const Caller& caller) {
+  const SubmissionId& id = submission->accepted.id;
+  // Earlier sends of the write need the earlier revision, so they have no effect any more. The
+  // promise of a refusal covers this attempt if it came before.
+  if (closed_revision > caller.arrival_revision) {
+    caller.done(internal::MakeAnswer(Outcome::kInDoubt, "closed-meanwhile"));
+    return;
+  }
+  this->RememberClosed(id, closed_revision);
+  submission->closed_revision = closed_revision;
+  submission->write.preconditions.back().revision = closed_revision;
+  this->SendSubmission(submission, caller);
+}
+
 void RequestHandler::OnSubmitFailed(const SubmissionId& id, const std::string& reason,
                                     bool in_doubt, const Caller& caller) {
-  if (in_doubt) {
-    this->RememberDoubt(id);
-  }
   const auto fail = [this, id, reason, caller] {
-    caller.done(this->AnswerOrInDoubt(id, this->RefuseForStore(id, "store: " + reason)));
+    caller.done(this->UndecidedByStore(id, "store: " + reason));
   };
   if (!in_doubt || this->now >= caller.deadline.answer_by) {
     fail();
@@ -309,43 +339,24 @@
   });
 }
 
-void RequestHandler::RememberDoubt(const SubmissionId& id) {
-  if (this->in_doubt_until.count(id) == 0) {
-    this->in_doubt_order.push_back(id);
-  }
-  this->in_doubt_until[id] = this->now + this->settings.max_write_delay;
-  if (this->in_doubt_order.size() > internal::kMaxRememberedSubmissions) {
-    this->in_doubt_until.erase(this->in_doubt_order.front());
-    this->in_doubt_order.pop_front();
-  }
-}
-
-CallerAnswer RequestHandler::AnswerOrInDoubt(const SubmissionId& id,
-                                             const CallerAnswer& answer) const {
-  return this->in_doubt_until.count(id) != 0 || this->open_writes.count(id) != 0
-             ? internal::MakeAnswer(Outcome::kInDoubt, "earlier-attempt")
-             : answer;
-}
-
-void RequestHandler::RejectUnlessStored(const SubmissionId& id, const CallerAnswer& answer,
-                                        const Caller& caller) {
-  // Another host may have accepted an earlier attempt whose answer did not reach the caller.
-  // A write may take effect between the read and its answer, so the doubt has to be over before.
-  const auto doubt = this->in_doubt_until.find(id);
-  const bool doubt_over = doubt != this->in_doubt_until.end() && this->now > doubt->second &&
-                          this->open_writes.count(id) == 0;
-  this->FindCell(
-      id, caller.deadline,
-      [this, id, answer, caller, doubt_over](StoreStatus status, const AssignedCell& cell) {
-        if (status == StoreStatus::kOk) {
-          caller.done(internal::MakeAnswer(Outcome::kAccepted, cell.cell.str()));
-          return;
+void RequestHandler::Refuse(const SubmissionId& id, const CallerAnswer& refusal,
+                            const Caller& caller) {
+  this->closer.Close(
+      id, caller.deadline.answer_by,
+      [this, id, refusal, caller](const SubmissionCloser::Result& result) {
+        switch (result.status) {
+          case SubmissionCloser::Status::kClosed:
+            this->RememberClosed(id, result.item.revision);
+            caller.done(refusal);
+            return;
+          case SubmissionCloser::Status::kStored:
+            this->RememberCell(id, AssignedCell{CellId(result.item.value), result.item.revision});
+            caller.done(internal::MakeAnswer(Outcome::kAccepted, "known-before"));
+            return;
+          case SubmissionCloser::Status::kUnknown:
+            caller.done(this->UndecidedByStore(id, refusal.reason));
+            return;
         }
-        const bool decided =
-            status == StoreStatus::kMissing && doubt_over && this->open_writes.count(id) == 0;
-        const CallerAnswer refusal =
-            status == StoreStatus::kMissing ? answer : this->Unavailable("store-away");
-        caller.done(decided ? refusal : this->AnswerOrInDoubt(id, refusal));
       });
 }
 
@@ -511,6 +522,16 @@
                    });
 }
 
+void RequestHandler::RememberClosed(const SubmissionId& id, std::uint64_t revision) {
+  if (this->closed_revisions.insert_or_assign(id, revision).second) {
+    this->closed_order.push_back(id);
+  }
+  if (this->closed_order.size() > internal::kMaxRememberedSubmissions) {
+    this->closed_revisions.erase(this->closed_order.front());
+    this->closed_order.pop_front();
+  }
+}
+
 void RequestHandler::ForgetCell(const SubmissionId& id) { this->cell_cache.erase(id); }
 
 void RequestHandler::RememberCell(const SubmissionId& id, const AssignedCell& cell) {
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -3,7 +3,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -16,15 +15,14 @@
 #include "pistachio/request/cell_choice.h"
 #include "pistachio/request/return_schedule.h"
 #include "pistachio/request/store_retries.h"
+#include "pistachio/request/submission_closer.h"
 
 namespace pistachio {
 
 /// \brief Timeouts and limits of request handling.
 struct RequestHandlerSettings {
   StoreRetrySettings store;
-  /// Time after which a write that got no answer can't take effect any more. Late writes took up to
-  /// 6 s in tests.
-  Duration max_write_delay = std::chrono::seconds(15);
+  SubmissionCloserSettings closer;
   /// Maximum age of the configuration for answering that a queue does not exist. A queue that an
   /// older configuration lacks may be a new one.
   Duration max_configuration_age = std::chrono::milliseconds(1700);
@@ -51,6 +49,8 @@
   std::shared_ptr<const Configuration> configuration;
   StoreItem source;          ///< only key and revision are used; the value may be empty
   TimePoint confirmed_at{};  ///< when the store last confirmed it as the latest
+  /// The store was read and contained none, so no submission was ever accepted.
+  bool known_missing = false;
 };
 
 /// \brief Functions of the process that request handling depends on.
@@ -67,16 +67,18 @@
   std::function<bool()> is_store_reachable;
   /// Returns the length of the store outage; zero while the store is reachable.
   std::function<Duration()> store_outage_duration;
+  /// Returns the latest store revision that a reply to this host has shown.
+  std::function<std::uint64_t()> newest_revision;
   /// Called with the store's item of the configuration if it is newer than the active one.
   std::function<void(const StoreItem&)> on_newer_configuration;
 };
 
 /// \brief Handles callers' requests by reading and writing the store.
 ///
-/// Not thread-safe; used on the control thread only. While a write that this host sent for a
-/// submission can still take effect, no answer says that the submission was not accepted; the
-/// answer is kInDoubt instead. Store calls are repeated within the time that the caller waits, see
-/// StoreRetries.
+/// Not thread-safe; used on the control thread only. A submission is refused only once it is closed
+/// in the store, see SubmissionCloser: kRejectedForLoad and kUnavailable promise that no attempt
+/// made until then runs. Where the store cannot say so in time, the answer is kInDoubt. Store calls
+/// are repeated within the time that the caller waits, see StoreRetries.
 class RequestHandler {
  public:
   using AnswerCallback = std::function<void(const CallerAnswer&)>;
@@ -97,9 +99,12 @@
   ///
   /// A request whose write the store has not answered by then is answered as in doubt. Requests
   /// that arrive from now on are refused if they need the store.
-  void BeginStop(TimePoint end_at) { this->store.BeginStop(end_at); }
+  void BeginStop(TimePoint end_at) {
+    this->store.BeginStop(end_at);
+    this->closer.BeginStop(end_at);
+  }
   /// \returns true if a request waits for the store.
-  bool HasOpenRequests() const { return this->store.open() != 0; }
+  bool HasOpenRequests() const { return this->store.open() != 0 || this->closer.open() != 0; }
 
   /// \returns the events logged since the last call.
   std::vector<EventRecord> TakeEvents() { return std::exchange(this->events, {}); }
@@ -114,12 +119,14 @@
   struct Caller {
     CallerDeadline deadline;
     AnswerCallback done;
+    std::uint64_t arrival_revision = 0;  ///< latest store revision known when the request came
   };
   /// A submission that is being written to the store.
   struct SubmissionWrite {
     AcceptedSubmission accepted;
     CellId cell;
     Transaction write;
+    std::uint64_t closed_revision = 0;  ///< of the closing key, as the write requires it
   };
 
   /// \returns the number of waiting submissions, or that it is unavailable if this host does not
@@ -136,19 +143,24 @@
   /// \param best earliest predicted end in any cell
   CallerAnswer RefuseForLoad(const SubmitRequest& request, const ClusterView& view,
                              const std::vector<CellCandidate>& candidates, const Forecast& best);
-  /// \returns the refusal of a submission that the store did not take. Returns after an outage are
-  ///   spread.
-  CallerAnswer RefuseForStore(const SubmissionId& id, const std::string& reason);
+  /// \returns the answer for a submission that the store has not decided. Returns after an outage
+  ///   are spread.
+  CallerAnswer UndecidedByStore(const SubmissionId& id, const std::string& reason);
   /// \returns the refusal if the cell's backlog is too long for the submission, by records without
   ///   the data for forecasts.
   std::optional<CallerAnswer> CheckBacklog(const SubmitRequest& request, const CellId& cell,
                                            const ClusterView& view) const;
+  /// Sends the write of a submission.
+  void SendSubmission(const std::shared_ptr<SubmissionWrite>& submission, const Caller& caller);
   /// \param in_doubt an attempt had no answer and may still take effect
   void OnSubmitted(const std::shared_ptr<SubmissionWrite>& submission, const StoreReply& reply,
                    bool in_doubt, const Caller& caller);
   /// Answers for a submission that could not be written in time, after a read if it is in doubt.
   void OnSubmitFailed(const SubmissionId& id, const std::string& reason, bool in_doubt,
                       const Caller& caller);
+  /// Handles the answer to a write that found the submission closed by another attempt.
+  void OnSubmissionClosed(const std::shared_ptr<SubmissionWrite>& submission,
+                          std::uint64_t closed_revision, const Caller& caller);
   void ReadState(const SubmissionId& id, const Caller& caller);
   /// Reads the state from the progress record in \a cell.
   void ReadProgress(const SubmissionId& id, const AssignedCell& cell, const Caller& caller);
@@ -174,15 +186,11 @@
   /// \param on_result called with kOk and the cell, kMissing, or kRefused if the store fails
   void FindCell(const SubmissionId& id, const CallerDeadline& deadline,
                 const std::function<void(StoreStatus, const AssignedCell&)>& on_result);
-  /// Remembers that a write of the submission by this host may still take effect.
-  void RememberDoubt(const SubmissionId& id);
-  /// \returns \a answer, or kInDoubt if an earlier write of the submission by this host may still
-  ///   take effect.
-  CallerAnswer AnswerOrInDoubt(const SubmissionId& id, const CallerAnswer& answer) const;
-  /// Answers with \a answer, or with kAccepted if the submission is already stored. If that cannot
-  /// be determined, answers with kInDoubt or kUnavailable.
-  void RejectUnlessStored(const SubmissionId& id, const CallerAnswer& answer, const Caller& caller);
+  /// Closes the submission and answers with \a refusal, or with kAccepted if it is already stored.
+  /// If that cannot be determined, answers with kInDoubt.
+  void Refuse(const SubmissionId& id, const CallerAnswer& refusal, const Caller& caller);
   void RememberCell(const SubmissionId& id, const AssignedCell& cell);
+  void RememberClosed(const SubmissionId& id, std::uint64_t revision);
   /// Makes the next request for the submission look up its cell in the store.
   void ForgetCell(const SubmissionId& id);
   /// \returns the outcome kUnavailable with the wait before a retry.
@@ -191,16 +199,15 @@
   RequestHandlerSettings settings;
   RequestHandlerCallbacks callbacks;
   StoreRetries store;
+  SubmissionCloser closer;
   ReturnSchedule load_returns;   ///< of callers refused for load
   ReturnSchedule store_returns;  ///< of callers that a store outage refused
   TimePoint now{};               ///< time of the last tick
   std::unordered_map<SubmissionId, AssignedCell> cell_cache;  ///< cells of recent submissions
   std::deque<SubmissionId> cell_cache_order;                  ///< oldest first, to bound the memory
-  /// Submissions with an unanswered write, and when it may take effect at the latest.
-  std::unordered_map<SubmissionId, TimePoint> in_doubt_until;
-  /// Submissions of which a write is sent or waits to be sent again.
-  std::multiset<SubmissionId> open_writes;
-  std::deque<SubmissionId> in_doubt_order;  ///< oldest first, to bound the memory
+  /// Closing keys of submissions that this host has refused, by their last revision.
+  std::unordered_map<SubmissionId, std::uint64_t> closed_revisions;
+  std::deque<SubmissionId> closed_order;  ///< oldest first, to bound the memory
   std::vector<EventRecord> events;
 };
 
