Count an attempt from its arrival at the host

Cause: the revision that tells whether a refusal came before an attempt was taken when the attempt was handled, and again at each repetition. An attempt that waited for the configuration, or was repeated for a newer one, could reopen a submission that had been refused meanwhile. 503 for want of a configuration rested on a read of any age.

Change: Node::Handle notes the latest known revision and passes it on. A closing that is newer answers 504, also if this host knows it already. The revisions of items in replies count as known, so that a host whose watches lag answers fewer retries with 504. 503 needs a recent read that shows no configuration.

Result: [true_refusals] passes; no test of the race itself.

--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -73,7 +73,7 @@
                       [this, call, callback, sent_at = this->now](const StoreReply& reply) {
                         this->monitor.OnReply(reply, this->now);
                         this->revision_clock.OnReply(call, reply, sent_at, this->now);
-                        this->newest_revision = std::max(this->newest_revision, reply.revision);
+                        this->NoteRevisions(reply);
                         callback(reply);
                       });
   };
@@ -114,7 +114,6 @@
   };
   callbacks.is_store_reachable = [this] { return this->monitor.reachable(); };
   callbacks.store_outage_duration = [this] { return this->monitor.UnreachableFor(this->now); };
-  callbacks.newest_revision = [this] { return this->newest_revision; };
   callbacks.on_newer_configuration = [this](const StoreItem& item) { this->OnConfiguration(item); };
   this->request_handler = std::make_unique<RequestHandler>(settings.request_handler, callbacks);
 }
@@ -334,10 +333,19 @@
   const TimePoint arrived_at = std::max(this->now, handled_at);
   if (!this->KnowsConfiguration() && !this->requests_ending &&
       this->without_configuration.size() < this->settings.max_configuration_waiters) {
-    this->without_configuration.push_back(WaitingRequest{decode, done, arrived_at});
+    this->without_configuration.push_back(
+        WaitingRequest{decode, done, {arrived_at, this->newest_revision}});
     return;
   }
-  this->HandleWithRetries(decode, done, arrived_at, internal::kMaxHandleAttempts);
+  this->HandleWithRetries(decode, done, {arrived_at, this->newest_revision},
+                          internal::kMaxHandleAttempts);
+}
+
+void Node::NoteRevisions(const StoreReply& reply) {
+  this->newest_revision = std::max(this->newest_revision, reply.revision);
+  for (const StoreItem& item : reply.items) {
+    this->newest_revision = std::max(this->newest_revision, item.revision);
+  }
 }
 
 bool Node::KnowsConfiguration() const {
@@ -348,11 +356,11 @@
   const bool known = this->KnowsConfiguration();
   while (!this->without_configuration.empty() &&
          (known || wait_over ||
-          this->now - this->without_configuration.front().arrived_at >=
+          this->now - this->without_configuration.front().arrival.at >=
               this->settings.max_configuration_wait)) {
     const WaitingRequest request = std::move(this->without_configuration.front());
     this->without_configuration.pop_front();
-    this->HandleWithRetries(request.decode, request.done, request.arrived_at,
+    this->HandleWithRetries(request.decode, request.done, request.arrival,
                             internal::kMaxHandleAttempts);
   }
 }
@@ -364,18 +372,18 @@
 }
 
 void Node::HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
-                             TimePoint arrived_at, int attempts_left) {
+                             const Arrival& arrival, int attempts_left) {
   const CallerRequest request = decode(*this->active_configuration.configuration);
   this->active_configuration.confirmed_at = this->configurations->confirmed_at();
   this->active_configuration.known_missing =
       this->configurations->loaded() &&
       this->configurations->items().count(this->documents.configuration_key) == 0;
   this->request_handler->Handle(
-      request, this->active_configuration, *this->cluster_view, arrived_at, this->wall,
-      [this, decode, done, arrived_at, attempts_left](const CallerAnswer& answer) {
+      request, this->active_configuration, *this->cluster_view, arrival.at, arrival.revision,
+      this->wall, [this, decode, done, arrival, attempts_left](const CallerAnswer& answer) {
         const bool retry = answer.outcome == Outcome::kConfigurationChanged && attempts_left > 1;
         if (retry) {
-          this->HandleWithRetries(decode, done, arrived_at, attempts_left - 1);
+          this->HandleWithRetries(decode, done, arrival, attempts_left - 1);
         } else {
           done(answer);
         }
--- a/pistachio/process/node/node.h
+++ b/pistachio/process/node/node.h
@@ -172,21 +172,29 @@
   }
 
  private:
+  /// When a request arrived.
+  struct Arrival {
+    TimePoint at;
+    std::uint64_t revision = 0;  ///< latest store revision that this host knew then
+  };
   /// A request that came before this process had a configuration to decode it with.
   struct WaitingRequest {
     Decode decode;
     RequestHandler::AnswerCallback done;
-    TimePoint arrived_at;
+    Arrival arrival;
   };
 
+  /// Raises `newest_revision` to the revisions in a reply.
+  void NoteRevisions(const StoreReply& reply);
+
   /// \returns true once requests can be decoded, or it is known that there is no configuration.
   bool KnowsConfiguration() const;
   /// Handles the requests that waited for the configuration, once it is known or the wait is over.
   void HandleWaitingRequests(bool wait_over);
   /// Handles a request. Repeats decoding and handling if the configuration changes meanwhile, until
-  /// no attempt is left. \param arrived_at when the request arrived
+  /// no attempt is left.
   void HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
-                         TimePoint arrived_at, int attempts_left);
+                         const Arrival& arrival, int attempts_left);
   /// Activates a newer configuration. If \a item cannot be read or holds an older version, logs an
   /// event and keeps the active configuration.
   void OnConfiguration(const StoreItem& item);
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -68,19 +68,20 @@
 
 void RequestHandler::Handle(const CallerRequest& request,
                             const ActiveConfiguration& active_configuration,
-                            const ClusterView& view, TimePoint arrived_at, WallTime wall,
+                            const ClusterView& view, TimePoint arrived_at,
+                            std::uint64_t arrival_revision, WallTime wall,
                             const AnswerCallback& done) {
+  const bool outdated =
+      arrived_at - active_configuration.confirmed_at > this->settings.max_configuration_age;
   if (active_configuration.configuration->version == 0) {
-    done(active_configuration.known_missing
+    done(active_configuration.known_missing && !outdated
              ? this->Unavailable("no-configuration")
              : internal::MakeAnswer(Outcome::kInDoubt, "no-configuration"));
     return;
   }
-  const bool outdated =
-      arrived_at - active_configuration.confirmed_at > this->settings.max_configuration_age;
   const auto caller = [&](const auto& typed_request) {
     return Caller{this->store.DeadlineOf(arrived_at, typed_request.caller_wait), done,
-                  this->callbacks.newest_revision()};
+                  arrival_revision};
   };
   if (const auto* submit = std::get_if<SubmitRequest>(&request)) {
     this->Submit(*submit, active_configuration, view, wall, caller(*submit));
@@ -152,6 +153,10 @@
   submission->cell = *cell;
   const auto closed = this->closed_revisions.find(request.id);
   submission->closed_revision = closed == this->closed_revisions.end() ? 0 : closed->second;
+  if (submission->closed_revision > caller.arrival_revision) {
+    caller.done(internal::MakeAnswer(Outcome::kInDoubt, "closed-meanwhile"));
+    return;
+  }
   // The revision of the configuration is a precondition, so a submission that a newer configuration
   // forbids is not accepted. That of the id makes the write harmless when it is executed twice, and
   // that of the closing key after a refusal.
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -67,8 +67,6 @@
   std::function<bool()> is_store_reachable;
   /// Returns the length of the store outage; zero while the store is reachable.
   std::function<Duration()> store_outage_duration;
-  /// Returns the latest store revision that a reply to this host has shown.
-  std::function<std::uint64_t()> newest_revision;
   /// Called with the store's item of the configuration if it is newer than the active one.
   std::function<void(const StoreItem&)> on_newer_configuration;
 };
@@ -87,10 +85,12 @@
 
   /// \brief Handles one request.
   /// \param arrived_at when the request arrived; the caller's wait counts from then
+  /// \param arrival_revision latest store revision that this host knew then. What was refused later
+  ///   includes this attempt.
   /// \param done called exactly once, before or after this function returns
   void Handle(const CallerRequest& request, const ActiveConfiguration& active_configuration,
-              const ClusterView& view, TimePoint arrived_at, WallTime wall,
-              const AnswerCallback& done);
+              const ClusterView& view, TimePoint arrived_at, std::uint64_t arrival_revision,
+              WallTime wall, const AnswerCallback& done);
 
   /// \brief Sends the store calls of waiting requests that are due.
   void Tick(TimePoint now);
