--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -73,6 +73,7 @@
                       [this, call, callback, sent_at = this->now](const StoreReply& reply) {
                         this->monitor.OnReply(reply, this->now);
                         this->revision_clock.OnReply(call, reply, sent_at, this->now);
+                        this->NoteRevisions(reply);
                         callback(reply);
                       });
   };
@@ -171,6 +172,7 @@
   this->targets->SetChangePause(needs_fresh_targets ? this->settings.owner_targets_watch_pause
                                                     : this->settings.idle_targets_watch_pause);
   this->request_handler->Tick(tick_now);
+  this->HandleWaitingRequests(false);
   this->SendOrders();
   this->LogEvacuationsAge();
   this->LogTrafficCounts();
@@ -328,20 +330,60 @@
 
 void Node::Handle(const Decode& decode, const RequestHandler::AnswerCallback& done,
                   TimePoint handled_at) {
-  this->HandleWithRetries(decode, done, std::max(this->now, handled_at),
+  const TimePoint arrived_at = std::max(this->now, handled_at);
+  if (!this->KnowsConfiguration() && !this->requests_ending &&
+      this->without_configuration.size() < this->settings.max_configuration_waiters) {
+    this->without_configuration.push_back(
+        WaitingRequest{decode, done, {arrived_at, this->newest_revision}});
+    return;
+  }
+  this->HandleWithRetries(decode, done, {arrived_at, this->newest_revision},
                           internal::kMaxHandleAttempts);
 }
 
+void Node::NoteRevisions(const StoreReply& reply) {
+  this->newest_revision = std::max(this->newest_revision, reply.revision);
+  for (const StoreItem& item : reply.items) {
+    this->newest_revision = std::max(this->newest_revision, item.revision);
+  }
+}
+
+bool Node::KnowsConfiguration() const {
+  return this->active_configuration.configuration->version != 0 || this->configurations->loaded();
+}
+
+void Node::HandleWaitingRequests(bool wait_over) {
+  const bool known = this->KnowsConfiguration();
+  while (!this->without_configuration.empty() &&
+         (known || wait_over ||
+          this->now - this->without_configuration.front().arrival.at >=
+              this->settings.max_configuration_wait)) {
+    const WaitingRequest request = std::move(this->without_configuration.front());
+    this->without_configuration.pop_front();
+    this->HandleWithRetries(request.decode, request.done, request.arrival,
+                            internal::kMaxHandleAttempts);
+  }
+}
+
+void Node::EndRequests(TimePoint end_at) {
+  this->requests_ending = true;
+  this->HandleWaitingRequests(true);
+  this->request_handler->BeginStop(end_at);
+}
+
 void Node::HandleWithRetries(const Decode& decode, const RequestHandler::AnswerCallback& done,
-                             TimePoint arrived_at, int attempts_left) {
+                             const Arrival& arrival, int attempts_left) {
   const CallerRequest request = decode(*this->active_configuration.configuration);
   this->active_configuration.confirmed_at = this->configurations->confirmed_at();
+  this->active_configuration.known_missing =
+      this->configurations->loaded() &&
+      this->configurations->items().count(this->documents.configuration_key) == 0;
   this->request_handler->Handle(
-      request, this->active_configuration, *this->cluster_view, arrived_at, this->wall,
-      [this, decode, done, arrived_at, attempts_left](const CallerAnswer& answer) {
+      request, this->active_configuration, *this->cluster_view, arrival.at, arrival.revision,
+      this->wall, [this, decode, done, arrival, attempts_left](const CallerAnswer& answer) {
         const bool retry = answer.outcome == Outcome::kConfigurationChanged && attempts_left > 1;
         if (retry) {
-          this->HandleWithRetries(decode, done, arrived_at, attempts_left - 1);
+          this->HandleWithRetries(decode, done, arrival, attempts_left - 1);
         } else {
           done(answer);
         }
