Log which long-running tasks have no run, and what each waits for

Cause: the log said how many long-running tasks had no run, but not which, nor why, and task-assigned did not tell long-running tasks from others.

Change: event task-overdue, once a second for ten tasks at most, with what the task waits for, its processors, the most that any target has free and the most without short tasks; field long-running of task-assigned.

--- a/pistachio/process/runtime/event_catalogue.h
+++ b/pistachio/process/runtime/event_catalogue.h
@@ -58,6 +58,7 @@
   kEndForwarded = 3119,
   kWorkDelayed = 3120,
   kRunPreempted = 3121,
+  kTaskOverdue = 3122,
   kTargetListed = 3201,
   kTargetUnlisted = 3202,
   kTargetSilent = 3203,
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -84,6 +84,13 @@
       {EventCode::kRunPreempted, Severity::kInfo, "run-preempted",
        "A run is stopped to free the place reserved for the task in `preferred`; the value and the "
        "work that its submission loses are the least of all runs that could be stopped."},
+      {EventCode::kTaskOverdue, Severity::kWarning, "task-overdue",
+       "A long-running task has had no run for 6 s or more; logged once a second, for ten tasks at "
+       "most. `why` says what it waits for: `quiet-target` (its last target crashed beside it), "
+       "`reserved-place` (short tasks on the target named), `no-place` (no target could take it "
+       "even without its short tasks), `commit`, `start` (no answer yet), `registrations`, "
+       "`orphaned-run` or `move`. The fields give its processors, the most that any target has "
+       "free, and the most that any has free of long-running work."},
       {EventCode::kTargetListed, Severity::kInfo, "target-listed",
        "A target has registered or changed its state."},
       {EventCode::kTargetUnlisted, Severity::kWarning, "target-unlisted",
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -169,6 +169,7 @@
   this->SendDueHolds(now);
   this->LogLateStops(now);
   this->LogLoad(now);
+  this->LogOverdueTasks(now);
 }
 
 void Cell::LogLoad(TimePoint now) {
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -203,6 +203,13 @@
   TasksWithoutRun CountTasksWithoutRun(TimePoint now) const;
   /// Logs the load of the cell at a fixed interval.
   void LogLoad(TimePoint now);
+  /// Logs once a second which long-running tasks have had no run for 6 s, and what each waits for.
+  void LogOverdueTasks(TimePoint now);
+  void LogOverdueTask(const Submission& submission, const TaskKey& key, const Task& task,
+                      TimePoint now);
+  /// \returns what a task without a run waits for, as it stands in the log.
+  const char* ReasonOfWait(const Submission& submission, const TaskKey& key, const Task& task,
+                           TimePoint now) const;
 
   /// Adds those of \a movable to \a batch for which another cell has more room.
   void AddWaitingSubmissions(const std::vector<Submission*>& movable,
@@ -725,6 +732,7 @@
   TimePoint last_commit_at{};
   TimePoint last_schedule_at{};
   TimePoint next_load_log_at{};
+  TimePoint next_overdue_log_at{};
   TimePoint next_late_stop_log_at{};
   WallTime wall_time{0};  ///< wall clock at the last `Tick`
   bool ticked = false;    ///< `Tick` has been called, so `wall_time` is known
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -409,6 +409,7 @@
        {"born", std::to_string(target->incarnation)},
        {"waited-ms", std::to_string((this->wall_time - submission->accepted.accepted_at).count())},
        {"without-run-ms", MillisecondsText(this->TimeWithoutRun(*task, now))},
+       {"long-running", submission->Step(key.step).long_running ? "1" : "0"},
        {"cpu-used", std::to_string(target->load.used.cpu_millis)},
        {"fill-cpu", std::to_string(target->load.best_effort_cpu)}});
 }
