Give the owner time to read a registration in a test of a slow store

Cause: "an end as done that comes while its submission moves counts" requires that the end is seen while the write of the move is open. With answers after 0.9 s the owner reads the registration of the returned target at about the end of the second for which the test ran, so the case depended on the phase of writes before it.

Change: the store stays slow for 2 s instead of 1 s. What is required is the same: seen during the write with the slow store, not seen with the quick one.

--- a/tests/emulator/end_after_move_test.cc
+++ b/tests/emulator/end_after_move_test.cc
@@ -131,7 +131,8 @@
   submission.cluster.store_faults.extra_latency = latency;
   submission.RunUntilMove();
   submission.ReturnTarget();
-  submission.cluster.Run(seconds(1));
+  // The owner reads the registration with the latency, and then asks for the end.
+  submission.cluster.Run(seconds(2));
   submission.cluster.store_faults.extra_latency = Duration{0};
   const bool seen_during_write = !submission.cluster.LogLinesContaining("=moving").empty();
   REQUIRE(seen_during_write == (latency > milliseconds(500)));
