Hand the lease bounds of lost targets to the next owner

In the emulator, an owner killed 4, 5, 5.5 or 6 s after the loss of a target leaves its long-running task without a run for 19.5, 20.6, 21.2 and 21.7 s on.

Cause: an owner wrote bounds only for targets that it had never reached. Of one that it had reached and lost, its successor knew nothing and waited for the longest lease that any owner may have given: 13.8 s from the end of the owner's key. And what was left of a bound counted from the takeover, 2 s after the kill, not from the write.

Change: a target that has been silent for 3.5 s has a bound too; as for the others, its lease is not extended until the bound is removed. The successor subtracts the time since the first reply that showed the bound's revision (RevisionClock::ReachedBy, dated at a tick after the reply, so never before the write). It waits 0.5 s at least instead of 1 s, which is one hold. Short tasks whose start may still arrive from the former owner stay until 13 s after the takeover, also where a bound is shorter; before, the longest wait covered that by accident.

--- a/pistachio/connection/store/revision_clock.cc
+++ b/pistachio/connection/store/revision_clock.cc
@@ -10,11 +10,14 @@
 constexpr Duration kMaxSampleAge = std::chrono::seconds(20);
 /// Shortest time between two samples, which bounds their number.
 constexpr Duration kSampleStep = std::chrono::milliseconds(20);
+/// The same for the times at which revisions were reached.
+constexpr Duration kReachedStep = std::chrono::milliseconds(50);
 
 }  // namespace internal
 
 void RevisionClock::OnReply(const StoreCall& call, const StoreReply& reply, TimePoint sent_at,
                             TimePoint now) {
+  this->newest_revision = std::max(this->newest_revision, reply.revision);
   if (reply.status != StoreStatus::kOk || reply.revision == 0) {
     return;
   }
@@ -49,6 +52,26 @@
   }
 }
 
+void RevisionClock::OnTick(TimePoint now) {
+  const bool known =
+      !this->reached.empty() && (this->reached.back().revision >= this->newest_revision ||
+                                 now - this->reached.back().time < internal::kReachedStep);
+  if (known || this->newest_revision == 0) {
+    return;
+  }
+  this->reached.push_back({now, this->newest_revision});
+  while (now - this->reached.front().time > internal::kMaxSampleAge) {
+    this->reached.pop_front();
+  }
+}
+
+std::optional<TimePoint> RevisionClock::ReachedBy(std::uint64_t revision) const {
+  const auto found = std::lower_bound(
+      this->reached.begin(), this->reached.end(), revision,
+      [](const Sample& known, std::uint64_t bound) { return known.revision < bound; });
+  return found == this->reached.end() ? std::nullopt : std::optional<TimePoint>(found->time);
+}
+
 std::optional<TimePoint> RevisionClock::TimeOf(std::uint64_t revision) const {
   const auto after = std::upper_bound(
       this->samples.begin(), this->samples.end(), revision,
--- a/pistachio/connection/store/revision_clock.h
+++ b/pistachio/connection/store/revision_clock.h
@@ -22,6 +22,16 @@
   /// \param now when the reply arrived, or before
   void OnReply(const StoreCall& call, const StoreReply& reply, TimePoint sent_at, TimePoint now);
 
+  /// \brief Dates the latest revision that replies have shown; call it after they were handled.
+  ///
+  /// A reply is handled with the time of the tick before, which may lie before the write that made
+  /// the revision: by seconds if the process was suspended.
+  void OnTick(TimePoint now);
+
+  /// \returns a time at which the store certainly had \a revision or a later one, the earliest that
+  ///   is known, or nothing if none is. Replies show it some tenths of a second after the write.
+  std::optional<TimePoint> ReachedBy(std::uint64_t revision) const;
+
   /// \returns the latest known time at which the store had no change after \a revision, or nothing
   ///   if that time is unknown. A copy with all changes up to \a revision has all changes until
   ///   then. Times older than 20 s are not known.
@@ -40,6 +50,9 @@
   void Add(const Sample& sample);
 
   std::deque<Sample> samples;  ///< both members rise from each sample to the next
+  /// At `time`, the revision of the store was `revision` or a later one. Both members rise.
+  std::deque<Sample> reached;
+  std::uint64_t newest_revision = 0;  ///< in any reply
 };
 
 }  // namespace pistachio
--- a/pistachio/process/node/node.cc
+++ b/pistachio/process/node/node.cc
@@ -134,6 +134,7 @@
 void Node::Tick(TimePoint tick_now, WallTime wall_now) {
   this->now = tick_now;
   this->wall = wall_now;
+  this->revision_clock.OnTick(tick_now);
   this->configurations->Tick(tick_now);
   this->hosts->Tick(tick_now);
   // While this host owned no cell, its copy of the registrations was read with long pauses.
@@ -214,6 +215,8 @@
             .first->second;
     ownership.SetConfiguration(this->active_configuration.configuration);
     ownership.SetEvacuatedDataCentres(this->evacuated_data_centres);
+    ownership.SetRevisionReader(
+        [this](std::uint64_t revision) { return this->revision_clock.ReachedBy(revision); });
     ownership.SetShapeReader([this](const CellId& cell) { return this->ShapeOf(cell); });
     if (!other_cells.empty()) {
       this->unowned_cells.emplace_back(scope.cell, other_cells, this->settings.unowned_cell,
--- a/pistachio/process/ownership/cell_ownership.cc
+++ b/pistachio/process/ownership/cell_ownership.cc
@@ -178,10 +178,22 @@
                   });
 }
 
+LeaseBounds CellOwnership::BoundsLeft(const StoreItem& sequence) const {
+  const auto former = DecodeSequence(sequence.value);
+  LeaseBounds bounds = former ? former->lease_bounds : LeaseBounds();
+  const auto written_by =
+      this->revision_reader ? this->revision_reader(sequence.revision) : std::optional<TimePoint>();
+  const Duration passed =
+      written_by ? std::max(Duration(0), this->state->now - *written_by) : Duration(0);
+  for (auto& [target, bound] : bounds) {
+    bound = std::max(Duration(0), bound - passed);
+  }
+  return bounds;
+}
+
 void CellOwnership::TakeOwnership(std::uint64_t expected_revision, const StoreItem& sequence) {
   State& state = *this->state;
-  const auto former = DecodeSequence(sequence.value);
-  state.inherited_bounds = former ? former->lease_bounds : LeaseBounds();
+  state.inherited_bounds = this->BoundsLeft(sequence);
   // Each owner writes the sequence when it takes the cell. If that was before the absence, there
   // was no owner since.
   state.no_owner_at = TimePoint::max();
--- a/pistachio/process/ownership/cell_ownership.h
+++ b/pistachio/process/ownership/cell_ownership.h
@@ -102,6 +102,9 @@
   /// \brief Sets the function that returns the targets of a cell that take new work. Without it,
   /// the kinds of targets in other cells are not known.
   void SetShapeReader(std::function<CellShape(const CellId&)> reader);
+  /// \brief Sets the function that returns when the store had reached a revision, at the latest,
+  /// see RevisionClock::ReachedBy(). Without it, inherited lease bounds count from the takeover.
+  void SetRevisionReader(std::function<std::optional<TimePoint>(std::uint64_t)> reader);
   /// \brief Removes a target whose registration is gone. Its address is kept for loading.
   void RemoveTarget(const TargetId& target);
 
@@ -210,6 +213,9 @@
   /// Reads the sequence key, then takes the cell on the condition that neither key changes.
   /// \param expected_revision of the owner key
   void ReadSequence(std::uint64_t expected_revision);
+  /// \returns the lease bounds of a sequence record, less the time that has certainly passed since
+  /// the former owner wrote them.
+  LeaseBounds BoundsLeft(const StoreItem& sequence) const;
   void TakeOwnership(std::uint64_t expected_revision, const StoreItem& sequence);
   void SendTake(const Transaction& take);
   void OnTaken(const StoreReply& reply, const Transaction& take);
@@ -265,6 +271,7 @@
   std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
   std::set<DataCentreId> evacuated_data_centres;
   std::function<CellShape(const CellId&)> shape_reader;
+  std::function<std::optional<TimePoint>(std::uint64_t)> revision_reader;
   std::map<TargetId, TargetEntry> targets;
   std::map<TargetId, TargetEntry> departed_targets;  ///< the most recently unregistered
   std::deque<TargetId> departed_order;               ///< oldest first, to bound the memory
--- a/pistachio/process/ownership/cell_ownership_commit.cc
+++ b/pistachio/process/ownership/cell_ownership_commit.cc
@@ -78,6 +78,11 @@
   this->shape_reader = std::move(reader);
 }
 
+void CellOwnership::SetRevisionReader(
+    std::function<std::optional<TimePoint>(std::uint64_t)> reader) {
+  this->revision_reader = std::move(reader);
+}
+
 void CellOwnership::UpdateShapes() {
   State& state = *this->state;
   if (!this->shape_reader) {
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -282,11 +282,12 @@
                        const char* cause);
   /// \returns the runs on a target without a lease that have ended for certain. A run whose start
   ///   may still be carried out by a next incarnation is not among them, unless it is long-running.
-  std::set<TaskKey> RunsWithoutLease(const Target& target);
+  std::set<TaskKey> RunsWithoutLease(const Target& target, TimePoint now);
   /// Requeues the runs whose lease has expired and removes targets that are gone.
   void ExpireLeases(TimePoint now);
   void SendDueHolds(TimePoint now);
-  /// \returns the lease bounds to store: those of targets with tasks that have never answered.
+  /// \returns the lease bounds to store: those of targets with tasks that have never answered, or
+  ///   not for some seconds.
   LeaseBounds CurrentLeaseBounds(TimePoint now) const;
   /// \returns true if bounds should be written although nothing else has changed.
   bool LeaseBoundsDue(const LeaseBounds& bounds, TimePoint now) const;
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -149,14 +149,17 @@
   });
 }
 
-std::set<TaskKey> Cell::RunsWithoutLease(const Target& target) {
+std::set<TaskKey> Cell::RunsWithoutLease(const Target& target, TimePoint now) {
   std::set<TaskKey> ended;
   for (const TaskKey& key : target.tasks) {
     Submission* submission = this->FindSubmission(key.submission);
     // The target may restart unnoticed, and its next incarnation may carry out a start. The wait
     // for that is longer than the time for which a long-running task may be without a run.
+    const Task& task = *submission->FindTask(key);
+    const bool inherited_start = task.inherited && !task.reported &&
+                                 now < this->acquired_at + this->settings.max_order_delay;
     const bool may_begin_again = !submission->Step(key.step).long_running &&
-                                 this->MayStillStart(target, key, *submission->FindTask(key));
+                                 (inherited_start || this->MayStillStart(target, key, task));
     if (!may_begin_again) {
       ended.insert(key);
     }
@@ -188,7 +191,8 @@
   std::vector<TargetId> removable;
   for (auto& [id, target] : this->targets) {
     if (now >= target.lease_expires_at) {
-      this->RequeueLostRuns(&target, this->RunsWithoutLease(target), now, internal::kLeaseExpired);
+      this->RequeueLostRuns(&target, this->RunsWithoutLease(target, now), now,
+                            internal::kLeaseExpired);
       target.orphaned_runs.clear();
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
@@ -388,11 +392,12 @@
   constexpr std::size_t kMaxBounds = 64;
   LeaseBounds bounds;
   for (const auto& [id, target] : this->targets) {
-    const bool silent = target.failed_holds >= this->settings.health.max_failed_holds ||
-                        target.entry.address.empty();
-    const bool listed =
-        !target.answered && !target.tasks.empty() && (silent || this->stored_bounds.count(id) != 0);
-    if (listed && bounds.size() < kMaxBounds) {
+    const bool silent = target.failed_holds >= this->settings.health.max_failed_holds;
+    const bool stored = this->stored_bounds.count(id) != 0;
+    const bool unreached = !target.answered && (silent || target.entry.address.empty() || stored);
+    const bool lost = target.answered && silent &&
+                      (stored || now - target.silent_since >= this->settings.bound_after_silence);
+    if ((unreached || lost) && !target.tasks.empty() && bounds.size() < kMaxBounds) {
       bounds[id] = std::max(Duration(0), target.lease_expires_at - now);
     }
   }
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -110,12 +110,16 @@
   /// store outage of this time plus `lease_duration`. A new owner waits for the same sum before it
   /// gives up runs on targets that it cannot reach. Store outages at the sites last up to 9 s.
   Duration store_outage_tolerance = std::chrono::seconds(6);
-  /// Interval at which the owner writes the lease bounds of unreached targets. They count down, so
+  /// Time without an answer after which the owner writes the lease bound of a target that it has
+  /// reached before. Until the bound is removed again, it does not extend the lease of the target.
+  /// A target that crashes and returns answers before that.
+  Duration bound_after_silence = std::chrono::milliseconds(3500);
+  /// Interval at which the owner writes the lease bounds of such targets. They count down, so
   /// after a change of owner the wait for a target is longer by up to this time.
   Duration lease_bounds_interval = std::chrono::milliseconds(500);
   /// Shortest time for which a new owner waits for a target with a lease bound. It covers one hold,
   /// so that a target that the new owner can reach is asked first.
-  Duration min_inherited_wait = std::chrono::milliseconds(1000);
+  Duration min_inherited_wait = std::chrono::milliseconds(500);
   /// Largest fraction by which a target's clock may run slow.
   double clock_drift = 0.03;
   /// Time added to the computed end of a lease for the transmission of a clock reading.
--- a/tests/emulator/owner_changes_test.cc
+++ b/tests/emulator/owner_changes_test.cc
@@ -15,12 +15,13 @@
 constexpr Duration kBound = milliseconds(13800);
 constexpr Duration kMargin = seconds(2);
 
-/// One cell whose only long-running task has lost its target, while the owner stops gracefully.
+/// One cell whose only long-running task has lost its target.
 class LostTarget {
  public:
   /// \param restart_hosts restart all hosts but the owner after the loss, so that none knows
   ///   the target's address
-  explicit LostTarget(bool restart_hosts = false) : cluster(OneCell()) {
+  /// \param stop_owner stop the owner gracefully after the loss
+  explicit LostTarget(bool restart_hosts = false, bool stop_owner = true) : cluster(OneCell()) {
     this->cluster.Run(seconds(2));
     SubmissionSpec spec = MakeSubmission(1, 1, seconds(1));
     spec.steps[0].long_running = true;
@@ -40,7 +41,9 @@
       }
       this->cluster.Run(milliseconds(500));
     }
-    this->StopOwner();
+    if (stop_owner) {
+      this->StopOwner();
+    }
   }
 
   /// Stops the owner gracefully and waits until another host owns the cell.
@@ -134,6 +137,38 @@
   RequireNoViolations(&lost.cluster);
 }
 
+/// \returns the time without a run if the owner is killed that long after the loss of the target.
+Duration TimeWithoutRunIfKilled(Duration killed_after) {
+  LostTarget lost(false, false);
+  lost.RunUntil(killed_after);
+  lost.KillOwner();
+  const Duration without_run = lost.TimeWithoutRun(seconds(40));
+  lost.cluster.Run(seconds(20));
+  RequireNoViolations(&lost.cluster);
+  return without_run;
+}
+
+/// 6 s without a run, and 3 s more.
+constexpr Duration kMaxWithoutRun = seconds(9);
+
+// The owner told its successor nothing of the lease of a target that it had reached before, and
+// what was left of a lease counted from the takeover, 2 s after the kill.
+TEST_CASE("an owner that is killed after it has lost a target makes no long-running task late",
+          "[emulator][owner_changes]") {
+  const Duration killed_after =
+      GENERATE(milliseconds(4500), milliseconds(5000), milliseconds(5500), milliseconds(6000));
+  CAPTURE(killed_after.count());
+  CHECK(TimeWithoutRunIfKilled(killed_after).count() <= kMaxWithoutRun.count());
+}
+
+TEST_CASE("an owner that is lost soon after a target makes no long-running task late",
+          "[emulator][owner_changes][.known-red]") {
+  const Duration killed_after =
+      GENERATE(milliseconds(0), milliseconds(1000), milliseconds(2500), milliseconds(4000));
+  CAPTURE(killed_after.count());
+  CHECK(TimeWithoutRunIfKilled(killed_after).count() <= kMaxWithoutRun.count());
+}
+
 // The second owner reaches the target again, extends its lease and loses the store at about the
 // same time. The third owner can't reach the target. It may count from the loss that the second
 // owner has noted only if the second owner has not extended the lease since.
--- a/tests/scheduling/inherited_lease_test.cc
+++ b/tests/scheduling/inherited_lease_test.cc
@@ -48,5 +48,54 @@
   REQUIRE(TimeUntilStart(seconds(4), seconds(60)) <= shorter);
 }
 
+// An owner that had reached a target and lost it left its successor nothing but the longest wait.
+TEST_CASE("an owner writes the lease bound of a target that it has reached and lost",
+          "[cell][inherited_lease]") {
+  ReservationFixture fixture;
+  fixture.Load("00000000000000a1", LongRunningStep({1000, 100, 0}), {"t1"});
+  fixture.PutTarget("t1");
+  fixture.PutTarget("t2");
+  fixture.FinishLoading();
+  fixture.Run(seconds(2));
+  REQUIRE_FALSE(fixture.cell.NextCommit(fixture.now));
+  fixture.silent.insert("t1");
+  const TimePoint lost_at = fixture.now;
+  fixture.Run(seconds(5));
+  const TimePoint written_at = fixture.now + CellSettings{}.lease_bounds_interval;
+  const auto commit = fixture.cell.NextCommit(written_at);
+  REQUIRE(commit);
+  REQUIRE(commit->lease_bounds.size() == 1);
+  // The last hold with a deadline was sent up to a long poll after the loss. It extends the lease
+  // by 7.5 s on a clock that may be slow.
+  const Duration left = commit->lease_bounds.at(TargetId("t1"));
+  REQUIRE(left > Duration(0));
+  REQUIRE(left <= lost_at + CellSettings{}.long_poll + milliseconds(7800) - written_at);
+  fixture.cell.OnCommitted(commit->number, written_at);
+  // Once the target answers, the bound is removed and the lease is extended again.
+  fixture.silent.clear();
+  fixture.Run(seconds(12));
+  REQUIRE_FALSE(fixture.cell.NextCommit(fixture.now));
+  REQUIRE(fixture.starts.empty());
+}
+
+// The former owner's start may have had no answer, and a restart of the target that nobody has seen
+// lets it arrive for 13 s. The longest wait covered that; a bound does not.
+TEST_CASE("a new owner keeps short tasks while a start of the former owner may arrive",
+          "[cell][inherited_lease]") {
+  ReservationFixture fixture;
+  const TimePoint taken_at = fixture.now;
+  fixture.silent.insert("t1");
+  fixture.cell.InheritLeaseBounds({{TargetId("t1"), seconds(2)}});
+  fixture.Load("00000000000000a1", ShortStep({1000, 100, 0}), {"t1"});
+  fixture.PutTarget("t1");
+  fixture.PutTarget("t2");
+  fixture.cell.FinishLoading(fixture.now);
+  while (fixture.starts.empty()) {
+    fixture.Run(milliseconds(50));
+    REQUIRE(fixture.now - taken_at < seconds(30));
+  }
+  REQUIRE(fixture.now - taken_at >= CellSettings{}.max_order_delay);
+}
+
 }  // namespace
 }  // namespace pistachio
--- a/tests/store/revision_clock_test.cc
+++ b/tests/store/revision_clock_test.cc
@@ -77,6 +77,30 @@
   REQUIRE_FALSE(clock.TimeOf(30));
 }
 
+// A bound that is counted from a time before its write would end too early.
+TEST_CASE("a revision counts as reached from the tick after the first reply that shows it",
+          "[revision_clock]") {
+  RevisionClock clock;
+  REQUIRE_FALSE(clock.ReachedBy(1));
+  StoreReply reply;
+  reply.status = StoreStatus::kOk;
+  reply.revision = 50;
+  clock.OnReply(ReadKey{"key"}, reply, TimePoint(seconds(10)), TimePoint(seconds(10)));
+  REQUIRE_FALSE(clock.ReachedBy(50));
+  // The process was suspended between the call and the handling of its reply.
+  clock.OnTick(TimePoint(seconds(14)));
+  REQUIRE(clock.ReachedBy(50) == TimePoint(seconds(14)));
+  REQUIRE_FALSE(clock.ReachedBy(51));
+  reply.status = StoreStatus::kConflict;
+  reply.revision = 60;
+  clock.OnReply(Transaction{}, reply, TimePoint(seconds(15)), TimePoint(seconds(15)));
+  clock.OnTick(TimePoint(seconds(16)));
+  clock.OnTick(TimePoint(seconds(17)));
+  REQUIRE(clock.ReachedBy(49) == TimePoint(seconds(14)));
+  REQUIRE(clock.ReachedBy(51) == TimePoint(seconds(16)));
+  REQUIRE(clock.ReachedBy(60) == TimePoint(seconds(16)));
+}
+
 TEST_CASE("the number of kept revisions has a bound", "[revision_clock]") {
   RevisionClock clock;
   std::uint64_t revision = 1;
