--- a/pistachio/process/scheduling/cell_evacuation.cc
+++ b/pistachio/process/scheduling/cell_evacuation.cc
@@ -142,13 +142,9 @@
   if (target.entry.state == TargetState::kDraining) {
     return true;
   }
-  if (target.failed_holds < this->settings.health.max_failed_holds) {
-    return false;
-  }
-  if (!few_silent) {
-    return target.lease_expires_at - now <= this->settings.preemption.ahead_of_expiry;
-  }
-  return !target.registered || now - target.silent_since >= this->settings.preemption.max_silence;
+  const bool silent = target.failed_holds >= this->settings.health.max_failed_holds;
+  return silent && few_silent &&
+         (!target.registered || now - target.silent_since >= this->settings.preemption.max_silence);
 }
 
 void Cell::KeepDestinations(TimePoint now) {
