Check each refusal of the emulator by what it promises

Cause: RuleChecker ignored a refusal after an acceptance, and forgot one as soon as a later attempt was accepted. A 429 or 503 promises that the submission was not accepted and never runs.

Change: a refusal breaks REFUSED if an attempt was accepted before, if the submission is in the store or if a run of it has started. A submission that is stored after its refusal breaks it too, unless an attempt has arrived at a host that is up since. The check of runs of refused submissions stays as it was. In the fuzz, one step in six more hands in an earlier submission again, at a host that does not depend on the submission's number.

--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -39,10 +39,38 @@
   this->rejected_ids.erase(id);
 }
 
-void RuleChecker::OnRejected(const SubmissionId& id) {
+void RuleChecker::OnAttemptArrived(const SubmissionId& id) { this->final_refusals.erase(id); }
+
+void RuleChecker::OnRejected(const SubmissionId& id, TimePoint now) {
+  const std::string refused =
+      id.str() + " was refused at " + std::to_string(now.time_since_epoch().count()) + " us";
+  if (this->accepted_ids.count(id) != 0) {
+    this->AddViolation("REFUSED", refused + " although an attempt was accepted before");
+  } else if (this->stored_ids.count(id) != 0) {
+    this->AddViolation("REFUSED", refused + " although it is stored");
+  } else if (this->begun.count(id) != 0) {
+    this->AddViolation("REFUSED", refused + " although a run of it has started");
+  }
   if (this->accepted_ids.count(id) == 0) {
     this->rejected_ids.insert(id);
   }
+  this->final_refusals[id] = now;
+}
+
+void RuleChecker::CheckStored(const SubmissionId& id, bool stored, TimePoint now) {
+  if (!stored) {
+    this->stored_ids.erase(id);
+    return;
+  }
+  if (!this->stored_ids.insert(id).second) {
+    return;
+  }
+  const auto refusal = this->final_refusals.find(id);
+  if (refusal != this->final_refusals.end()) {
+    this->AddViolation("REFUSED", id.str() + " is stored " +
+                                      std::to_string((now - refusal->second).count()) +
+                                      " us after its refusal, without an attempt in between");
+  }
 }
 
 void RuleChecker::OnCancelAcknowledged(const SubmissionId& id, TimePoint now) {
@@ -334,7 +362,8 @@
 
 void RuleChecker::OnKeysChanged(const std::string& id, const std::string& assigned_cell,
                                 const std::vector<std::string>& inbox_cells,
-                                const std::vector<std::string>& cancel_cells) {
+                                const std::vector<std::string>& cancel_cells, TimePoint now) {
+  this->CheckStored(SubmissionId(id), !assigned_cell.empty(), now);
   const std::size_t expected = assigned_cell.empty() ? 0 : 1;
   const bool bound_once =
       inbox_cells.size() == expected && (expected == 0 || inbox_cells.front() == assigned_cell);
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -19,8 +19,14 @@
   /// A caller has submitted; called before the submission reaches a host.
   void OnSubmit(const SubmissionId& id, const SubmissionSpec& spec, std::uint32_t max_attempts);
   void OnAccepted(const SubmissionId& id, TimePoint now);
-  /// A caller's request was answered as not accepted; ignored after an acceptance.
-  void OnRejected(const SubmissionId& id);
+  /// An attempt of a submission has arrived at a host that is up; called before it is answered.
+  void OnAttemptArrived(const SubmissionId& id);
+  /// \brief An attempt of a submission was answered as not accepted.
+  ///
+  /// Breaks the rule REFUSED if an attempt was answered as accepted before, if the submission is
+  /// in the store or if a run of it has started. From then on, OnKeysChanged() reports the
+  /// submission if it is stored before another attempt arrives.
+  void OnRejected(const SubmissionId& id, TimePoint now);
   void OnCancelAcknowledged(const SubmissionId& id, TimePoint now);
   /// A caller's cancel was answered as in doubt, which is no acknowledgement.
   void OnCancelInDoubt(const SubmissionId& id, TimePoint now);
@@ -77,13 +83,13 @@
   /// A start has exceeded the resources of a target.
   void OnCapacityExceeded(const std::string& target, TimePoint now);
 
-  /// The store's keys of a submission have changed.
+  /// The store's keys of a submission have changed: checks the rules BINDING and REFUSED.
   /// \param assigned_cell cell that the submission is assigned to; empty if there is none
   /// \param inbox_cells cells whose inbox has the submission
   /// \param cancel_cells cells whose inbox has a cancel of the submission
   void OnKeysChanged(const std::string& id, const std::string& assigned_cell,
                      const std::vector<std::string>& inbox_cells,
-                     const std::vector<std::string>& cancel_cells);
+                     const std::vector<std::string>& cancel_cells, TimePoint now);
 
   /// \brief Checks that every accepted submission is complete, except those that were cancelled,
   /// were last reported as failed, have a deadly task or are long-running, and that no task is at
@@ -141,6 +147,8 @@
     TimePoint last_start = TimePoint::min();  ///< before the end of the evacuation
   };
 
+  /// Records whether a submission is stored, and checks the rule REFUSED when it is stored first.
+  void CheckStored(const SubmissionId& id, bool stored, TimePoint now);
   /// Reports each run that is at work although an end as done of its task was acknowledged.
   void CheckRunsOfDoneTasks();
   void AddViolation(const std::string& rule, const std::string& description);
@@ -157,7 +165,10 @@
   std::map<SubmissionId, SubmissionRecord> submissions;
   std::map<SubmissionId, TimePoint> accepted_ids;  ///< with the time of the first acceptance
   std::set<SubmissionId> rejected_ids;             ///< rejected and never accepted
-  std::set<SubmissionId> begun;                    ///< a run of a task has started
+  /// Time of the last refusal of each submission of which no attempt has arrived since.
+  std::map<SubmissionId, TimePoint> final_refusals;
+  std::set<SubmissionId> stored_ids;  ///< assigned to a cell in the store
+  std::set<SubmissionId> begun;       ///< a run of a task has started
   /// With the time of the first acknowledgement or answer in doubt.
   std::map<SubmissionId, TimePoint> cancelled;
   std::map<SubmissionId, TimePoint> cancel_acks;  ///< with the time of the first acknowledgement
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -559,6 +559,7 @@
   if (!receiver.node || receiver.frozen) {
     return;
   }
+  this->rule_checker.OnAttemptArrived(id);
   receiver.node->Handle(
       [id, spec](const Configuration& configuration) -> CallerRequest {
         const QueueSettings* queue = configuration.MatchQueue("host", "/queue/");
@@ -573,7 +574,7 @@
           this->rule_checker.OnAccepted(id, this->clock_now);
         } else if (answer.outcome == Outcome::kRejectedForLoad ||
                    answer.outcome == Outcome::kUnavailable) {
-          this->rule_checker.OnRejected(id);
+          this->rule_checker.OnRejected(id, this->clock_now);
         }
         if (on_answer) {
           on_answer(answer);
--- a/emulator/simulated_cluster_calls.cc
+++ b/emulator/simulated_cluster_calls.cc
@@ -116,7 +116,7 @@
       }
     }
     this->rule_checker.OnKeysChanged(id, assigned == items.end() ? "" : assigned->second.value,
-                                     inbox_cells, cancel_cells);
+                                     inbox_cells, cancel_cells, this->clock_now);
   }
   return reply;
 }
--- a/tests/emulator/stateful_fuzz_test.cc
+++ b/tests/emulator/stateful_fuzz_test.cc
@@ -82,7 +82,10 @@
       }
       this->cluster->Submit(host, NumberedId(this->submitted_count), SpecOf(this->submitted_count));
     } else if (step.action == Action::kResubmit) {
-      this->cluster->Submit(host, NumberedId(earlier_submission), SpecOf(earlier_submission));
+      // The rest of the selector picks the host, so that each submission can meet each host.
+      const std::vector<std::string> hosts = this->cluster->hosts();
+      this->cluster->Submit(hosts[step.selector / this->submitted_count % hosts.size()],
+                            NumberedId(earlier_submission), SpecOf(earlier_submission));
     } else if (step.action == Action::kCancel) {
       this->cluster->Cancel(host, NumberedId(earlier_submission));
     } else {
@@ -163,10 +166,12 @@
 
 /// \param end first action that is left out
 rc::Gen<Action> AnyAction(Action end) {
-  // At least half of all steps submit, so that the faults meet submissions at work.
+  // At least half of all steps submit, so that the faults meet submissions at work. One in six
+  // hands in an earlier submission again, up to the length of the scenario later.
   return rc::gen::map(
-      rc::gen::weightedOneOf<int>({{1, rc::gen::just(static_cast<int>(Action::kSubmit))},
-                                   {1, rc::gen::inRange(0, static_cast<int>(end))}}),
+      rc::gen::weightedOneOf<int>({{2, rc::gen::just(static_cast<int>(Action::kSubmit))},
+                                   {1, rc::gen::just(static_cast<int>(Action::kResubmit))},
+                                   {3, rc::gen::inRange(0, static_cast<int>(end))}}),
       [](int action) { return static_cast<Action>(action); });
 }
 
