--- a/tests/http/http_exchange_test.cc
+++ b/tests/http/http_exchange_test.cc
@@ -305,7 +305,8 @@
   REQUIRE_FALSE(result.answer_cut_off);
 }
 
-// Requests that had taken effect, here or by an earlier attempt elsewhere, were answered as refused.
+// Requests that had taken effect, here or by an earlier attempt elsewhere, were answered as
+// refused.
 TEST_CASE("a server that stops refuses no open request", "[http]") {
   constexpr int kCallers = 8;
   std::atomic<int> held{0};
