--- a/pistachio/request/caller_request.h
+++ b/pistachio/request/caller_request.h
@@ -62,7 +62,7 @@
   kNoSuchQueue,           ///< no queue matches the request
   kMalformed,             ///< the request breaks the format
   kRejectedForLoad,       ///< rejected for load and will never run; the caller may retry later
-  kUnavailable,           ///< nothing was done and will be; the caller may retry later
+  kUnavailable,           ///< nothing was done or will be; the caller may retry later
   kInDoubt,               ///< this or an earlier attempt may run; the caller retries the same id
   kConfigurationChanged,  ///< checked against an outdated configuration; handle the request again
 };
