--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -702,17 +702,22 @@
 };
 
 // ---------------------------------------------------------------- hosts
+// \returns a free port outside the range from which the system takes the ports of connections.
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  const int port = ntohs(address.sin_port);
-  close(fd);
-  return port;
+  static std::mt19937 random{std::random_device{}()};
+  while (true) {
+    const int port = std::uniform_int_distribution<int>(12000, 31999)(random);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool free = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (free) {
+      return port;
+    }
+  }
 }
 
 // The daemon as the deploy file starts it: `target/tools/pistachiod`, its settings named by PISTACHIOSTALL_SETTINGS.
--- a/review/standin-2/moved_back.cc
+++ b/review/standin-2/moved_back.cc
@@ -48,7 +48,7 @@
       std::this_thread::sleep_for(Millis(1000));
     }
   };
-  for (int cycle = 0; site.record.Now() < begin + kTrafficSeconds; ++cycle) {
+  while (site.record.Now() < begin + kTrafficSeconds) {
     const auto start = Clock::now();
     lossy = Trouble();  // for 4.5 s of each cycle, as in the site files
     // A task for each worker, with all of its memory.
@@ -58,8 +58,8 @@
       }
     }
     std::this_thread::sleep_until(start + Millis(400));
-    for (int host = cycle % 2; host < kHosts; host += 2) {
-      for (int i = 0; i < 12; ++i) {
+    for (int host = 0; host < kHosts; ++host) {
+      for (int i = 0; i < 10; ++i) {
         clients.emplace_back(submit, host, "/check/", 2, 500, 500, 300);
       }
     }
