--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # couldn't run. TROUBLE=0 plays the same without the disruption. Usage: review/7/run.sh
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-2/crashes_in_turn
+program=target/review-2/late_starts
 if [ ! -x "$program" ] || [ ! -x target/tools/pistachiod ]; then
   echo "build the deploy file's programs and review/build-2.sh first" >&2
   exit 2
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -421,7 +421,7 @@
   std::string task;
   std::uint64_t run = 0;
   std::string worker;
-  std::string what;  // start, or how it ended; `crash` if the worker crashed under it
+  std::string what;  // start, how it ended, `crash` if the worker crashed under it, `noted` and how once the end is acknowledged
 };
 
 // All that the workers have seen.
@@ -447,6 +447,9 @@
 // The `spec` of a submission tells the worker what its tasks do: "ms=N" for N ms of work, "lasts" for tasks that last.
 class Worker {
  public:
+  // Share of the orders that get no answer and are carried out 2 to 12 s later, by the life that is there then.
+  inline static std::atomic<double> late_share{0.0};
+
   Worker(int number, std::string service, std::string zone, std::string rack, Store* store, Journal* journal)
       : number(number), service(std::move(service)), zone(std::move(zone)), rack(std::move(rack)), store(store), journal(journal) {
     HttpServerLimits limits;
@@ -470,11 +473,15 @@
     this->crashed_id = this->id;
     this->crashed_at = Clock::now();
   }
-  // A new life at the same address, under a new id.
-  void Boot() {
+  // A new life at the same address, under a new id or under the id that it had.
+  void Boot(bool same_id = false) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->life++;
-    this->id = "w" + std::to_string(this->number) + "-" + std::to_string(this->life);
+    if (same_id) {
+      this->crashed_id.clear();  // the entry stays
+    } else {
+      this->id = "w" + std::to_string(this->number) + "-" + std::to_string(this->life);
+    }
     this->born = UnixMillis();
     this->booted = Clock::now();
     this->fence = 0;
@@ -482,7 +489,8 @@
     this->next_end = 1;
     this->barred.clear();
     this->up = true;
-    this->next_beat = Clock::now();
+    // `lag_ms` of the site files: what a worker says of itself is in the store that much later.
+    this->next_beat = Clock::now() + (this->life == 1 ? Millis(0) : Millis(800));
   }
   std::string Id() {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -496,6 +504,17 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       const auto now = Clock::now();
+      // What comes while the worker has no power is lost.
+      for (auto late = this->late_orders.begin(); late != this->late_orders.end();) {
+        if (now < late->first) {
+          ++late;
+          continue;
+        }
+        if (this->up) {
+          this->Handle(late->second);
+        }
+        late = this->late_orders.erase(late);
+      }
       if (this->up) {
         const bool lapsed = !this->running.empty() && this->ClockMs() > this->deadline;
         std::vector<std::pair<std::string, std::string>> ends;
@@ -595,6 +614,16 @@
     if (!this->up) {
       return;  // No power: no answer.
     }
+    const bool is_order = request.path != "/health";
+    if (is_order && std::uniform_real_distribution<>(0.0, 1.0)(this->random) < late_share) {
+      const long delay = std::uniform_int_distribution<long>(2000, 12000)(this->random);
+      this->late_orders.emplace_back(Clock::now() + Millis(delay), request);
+      return;
+    }
+    this->Handle(request);
+  }
+  // Carries out an order. The answer to one that is late comes long after its sender has left.
+  void Handle(const ServedRequest& request) {
     if (request.path == "/health") {
       this->server->Answer(request.exchange, MakeAnswer(200, Json::object()));
       return;
@@ -626,6 +655,8 @@
     if (request.path == "/v1/hold") {
       const std::uint64_t cursor = body.value("ackCursor", std::uint64_t{0});
       while (!this->finished.empty() && this->finished.front().at(0).get<std::uint64_t>() <= cursor) {
+        const Json& end = this->finished.front();
+        this->journal->Add(end.at(1), end.at(2), this->id, "noted " + end.at(3).get<std::string>());
         this->finished.pop_front();
       }
       this->holds.push_back({request.exchange, cursor, Clock::now() + Millis(body.value("waitMs", 0L))});
@@ -698,6 +729,8 @@
   std::map<std::string, RunState> running;
   std::deque<Json> finished;
   std::list<HeldRequest> holds;
+  std::list<std::pair<Clock::time_point, ServedRequest>> late_orders;
+  std::mt19937 random{std::random_device{}()};
   Clock::time_point next_beat;
 };
 
