--- a/review/standin-2/cancel_before_late_write.cc
+++ b/review/standin-2/cancel_before_late_write.cpp
@@ -1,6 +1,6 @@
 // Callers whose submission got no decision in time leave and cancel it. The store carries out some writes seconds late. A submission
 // whose cancelling was acknowledged must not run on.
-#include "lab.h"
+#include "lab.hpp"
 
 int main(int argc, char** argv) {
   using namespace lab;
--- a/review/standin-2/crashes_in_turn.cc
+++ b/review/standin-2/crashes_in_turn.cpp
@@ -1,6 +1,6 @@
 // Workers go down and up by turns, each under its id, while submissions run. No task ever ends `failed`. A submission may be shown as
 // `failed` only if two workers have crashed under one of its tasks.
-#include "lab.h"
+#include "lab.hpp"
 
 int main(int argc, char** argv) {
   using namespace lab;
--- a/review/standin-2/late_starts.cc
+++ b/review/standin-2/late_starts.cpp
@@ -1,6 +1,6 @@
 // Some orders get no answer and are carried out late, and workers crash and are back under their ids. A task whose end as done has been
 // acknowledged must not start again, and no task may have two runs at once.
-#include "lab.h"
+#include "lab.hpp"
 
 int main(int argc, char** argv) {
   using namespace lab;
--- a/review/standin-2/moved_back.cc
+++ b/review/standin-2/moved_back.cpp
@@ -1,6 +1,6 @@
 // Two zones with a cell each. Tasks that need much memory fill both from time to time; small submissions that come then wait, and the
 // owners move them to the other cell and back. Answers of the store are lost meanwhile. Each accepted submission must run.
-#include "lab.h"
+#include "lab.hpp"
 
 int main(int argc, char** argv) {
   using namespace lab;
