--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
+rm -f target/review-2/*
 libraries=(target/pistachio/libpistachio_http.a target/pistachio/libpistachio_runtime.a)
 for source in review/standin-2/*.cpp; do
   name=$(basename "$source" .cpp)
