Close an unknown submission before its cancel is answered

Cause: RequestHandler::Cancel answered 410 when the store had no cell for the id. Nothing barred a write of an earlier attempt that the store carried out seconds later.

Change: the host writes the closing key of the id first, on which each write of a submission depends, as it does before a refusal. If an attempt is stored by then, the cancel goes on there; without a decision the answer is 503. These writes have a queue and a rate of their own, so a flood of cancels delays no refusal. A cancel that finds the key gone after a first look takes the same way. The emulator's checker counts a cancel of an unknown id as acknowledged until another attempt arrives.

--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -39,7 +39,13 @@
   this->rejected_ids.erase(id);
 }
 
-void RuleChecker::OnAttemptArrived(const SubmissionId& id) { this->final_refusals.erase(id); }
+void RuleChecker::OnAttemptArrived(const SubmissionId& id) {
+  this->final_refusals.erase(id);
+  if (this->unknown_cancels.erase(id) != 0) {
+    this->cancelled.erase(id);
+    this->cancel_acks.erase(id);
+  }
+}
 
 void RuleChecker::OnRejected(const SubmissionId& id, TimePoint now) {
   const std::string refused =
@@ -74,11 +80,21 @@
 }
 
 void RuleChecker::OnCancelAcknowledged(const SubmissionId& id, TimePoint now) {
+  this->unknown_cancels.erase(id);
   this->cancelled.emplace(id, now);
   this->cancel_acks.emplace(id, now);
 }
 
+void RuleChecker::OnUnknownCancelled(const SubmissionId& id, TimePoint now) {
+  const bool first = this->cancelled.count(id) == 0;
+  this->OnCancelAcknowledged(id, now);
+  if (first) {
+    this->unknown_cancels.insert(id);
+  }
+}
+
 void RuleChecker::OnCancelInDoubt(const SubmissionId& id, TimePoint now) {
+  this->unknown_cancels.erase(id);
   this->cancelled.emplace(id, now);
 }
 
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -28,6 +28,9 @@
   /// submission if it is stored before another attempt arrives.
   void OnRejected(const SubmissionId& id, TimePoint now);
   void OnCancelAcknowledged(const SubmissionId& id, TimePoint now);
+  /// \brief Records that a cancel was answered with kUnknownId. No attempt that has arrived before
+  /// may start a run from then on; a later one opens the submission again.
+  void OnUnknownCancelled(const SubmissionId& id, TimePoint now);
   /// A caller's cancel was answered as in doubt, which is no acknowledgement.
   void OnCancelInDoubt(const SubmissionId& id, TimePoint now);
   /// A caller received the state of a submission.
@@ -172,6 +175,7 @@
   /// With the time of the first acknowledgement or answer in doubt.
   std::map<SubmissionId, TimePoint> cancelled;
   std::map<SubmissionId, TimePoint> cancel_acks;  ///< with the time of the first acknowledgement
+  std::set<SubmissionId> unknown_cancels;         ///< in `cancelled` by OnUnknownCancelled() only
   std::map<SubmissionId, SubmissionState> reported_states;          ///< last state reported
   std::map<std::string, std::map<std::string, RunRecord>> running;  ///< by task, then target
   std::map<std::string, std::uint32_t> failures;  ///< acknowledged failures by task
--- a/emulator/simulated_cluster.cc
+++ b/emulator/simulated_cluster.cc
@@ -601,6 +601,8 @@
         this->answer_counts[answer.outcome]++;
         if (answer.outcome == Outcome::kCancelled) {
           this->rule_checker.OnCancelAcknowledged(id, this->clock_now);
+        } else if (answer.outcome == Outcome::kUnknownId) {
+          this->rule_checker.OnUnknownCancelled(id, this->clock_now);
         } else if (answer.outcome == Outcome::kInDoubt) {
           this->rule_checker.OnCancelInDoubt(id, this->clock_now);
         }
--- a/pistachio/request/request_handler.cc
+++ b/pistachio/request/request_handler.cc
@@ -45,6 +45,8 @@
       store(settings.store, {this->callbacks.store, this->callbacks.is_store_reachable,
                              this->callbacks.store_outage_duration}),
       closer(settings.closer, {this->callbacks.store, this->callbacks.is_store_reachable}),
+      cancel_closer(settings.cancel_closer,
+                    {this->callbacks.store, this->callbacks.is_store_reachable}),
       load_returns(settings.returns),
       store_returns(settings.returns) {}
 
@@ -52,6 +54,7 @@
   this->now = tick_now;
   this->store.Tick(tick_now);
   this->closer.Tick(tick_now);
+  this->cancel_closer.Tick(tick_now);
   this->load_returns.DropExpired(tick_now);
   this->store_returns.DropExpired(tick_now);
 }
@@ -445,7 +448,7 @@
   this->FindCell(id, caller.deadline,
                  [this, id, caller](StoreStatus status, const AssignedCell& cell) {
                    if (status == StoreStatus::kMissing) {
-                     caller.done(internal::MakeAnswer(Outcome::kUnknownId));
+                     this->CancelUnknown(id, 0, caller);
                    } else if (status != StoreStatus::kOk) {
                      caller.done(this->Unavailable("store-away"));
                    } else {
@@ -454,6 +457,29 @@
                  });
 }
 
+void RequestHandler::CancelUnknown(const SubmissionId& id, std::uint32_t attempts,
+                                   const Caller& caller) {
+  this->cancel_closer.Close(
+      id, caller.deadline.answer_by,
+      [this, id, attempts, caller](const SubmissionCloser::Result& result) {
+        switch (result.status) {
+          case SubmissionCloser::Status::kClosed:
+            this->RememberClosed(id, result.item.revision);
+            caller.done(internal::MakeAnswer(Outcome::kUnknownId));
+            return;
+          case SubmissionCloser::Status::kStored: {
+            const AssignedCell cell{CellId(result.item.value), result.item.revision};
+            this->RememberCell(id, cell);
+            this->SendCancel(id, cell, attempts, caller);
+            return;
+          }
+          case SubmissionCloser::Status::kUnknown:
+            caller.done(this->Unavailable("not-closed"));
+            return;
+        }
+      });
+}
+
 void RequestHandler::SendCancel(const SubmissionId& id, const AssignedCell& cell,
                                 std::uint32_t attempts, const Caller& caller) {
   // The mark is written only where the submission is, as an owner reads the marks of its own cell.
@@ -491,7 +517,11 @@
   const StoreItem assigned = FindItem(reply, store_keys::AssignedCell(id));
   if (assigned.revision == 0) {
     this->ForgetCell(id);
-    caller.done(internal::MakeAnswer(Outcome::kUnknownId));
+    if (attempts < internal::kMaxCancelAttempts) {
+      this->CancelUnknown(id, attempts + 1, caller);
+    } else {
+      caller.done(this->Unavailable("moved"));
+    }
     return;
   }
   const AssignedCell latest{CellId(assigned.value), assigned.revision};
--- a/pistachio/request/request_handler.h
+++ b/pistachio/request/request_handler.h
@@ -23,6 +23,9 @@
 struct RequestHandlerSettings {
   StoreRetrySettings store;
   SubmissionCloserSettings closer;
+  /// For cancels of unknown submissions. They have writes of their own, so that a flood of them
+  /// delays no refusal and costs a host ten writes a second.
+  SubmissionCloserSettings cancel_closer = CancelCloserSettings();
   /// Maximum age of the configuration for answering that a queue does not exist. A queue that an
   /// older configuration lacks may be a new one.
   Duration max_configuration_age = std::chrono::milliseconds(1700);
@@ -102,9 +105,12 @@
   void BeginStop(TimePoint end_at) {
     this->store.BeginStop(end_at);
     this->closer.BeginStop(end_at);
+    this->cancel_closer.BeginStop(end_at);
   }
   /// \returns true if a request waits for the store.
-  bool HasOpenRequests() const { return this->store.open() != 0 || this->closer.open() != 0; }
+  bool HasOpenRequests() const {
+    return this->store.open() != 0 || this->closer.open() != 0 || this->cancel_closer.open() != 0;
+  }
 
   /// \returns the events logged since the last call.
   std::vector<EventRecord> TakeEvents() { return std::exchange(this->events, {}); }
@@ -169,6 +175,9 @@
   void AnswerWithoutProgress(const SubmissionId& id, const AssignedCell& cell,
                              const Caller& caller);
   void Cancel(const SubmissionId& id, const Caller& caller);
+  /// Answers the cancel of a submission that is not in the store. Closes it first, so that no write
+  /// of an earlier attempt stores it afterwards; cancels it if one has stored it meanwhile.
+  void CancelUnknown(const SubmissionId& id, std::uint32_t attempts, const Caller& caller);
   /// \param attempts number of cells in which the submission was looked for before
   void SendCancel(const SubmissionId& id, const AssignedCell& cell, std::uint32_t attempts,
                   const Caller& caller);
@@ -200,9 +209,10 @@
   RequestHandlerCallbacks callbacks;
   StoreRetries store;
   SubmissionCloser closer;
-  ReturnSchedule load_returns;   ///< of callers refused for load
-  ReturnSchedule store_returns;  ///< of callers that a store outage refused
-  TimePoint now{};               ///< time of the last tick
+  SubmissionCloser cancel_closer;  ///< for cancels
+  ReturnSchedule load_returns;     ///< of callers refused for load
+  ReturnSchedule store_returns;    ///< of callers that a store outage refused
+  TimePoint now{};                 ///< time of the last tick
   std::unordered_map<SubmissionId, AssignedCell> cell_cache;  ///< cells of recent submissions
   std::deque<SubmissionId> cell_cache_order;                  ///< oldest first, to bound the memory
   /// Closing keys of submissions that this host has refused, by their last revision.
--- a/pistachio/request/submission_closer.cc
+++ b/pistachio/request/submission_closer.cc
@@ -7,6 +7,13 @@
 
 namespace pistachio {
 
+SubmissionCloserSettings CancelCloserSettings() {
+  SubmissionCloserSettings settings;
+  settings.write_interval = std::chrono::milliseconds(100);
+  settings.max_waiting = 500;
+  return settings;
+}
+
 SubmissionCloser::SubmissionCloser(const SubmissionCloserSettings& settings, Callbacks callbacks)
     : settings(settings), callbacks(std::move(callbacks)) {}
 
--- a/pistachio/request/submission_closer.h
+++ b/pistachio/request/submission_closer.h
@@ -29,7 +29,10 @@
   std::size_t max_waiting = 2000;
 };
 
-/// \brief Closes submissions in the store before they are refused.
+/// \returns the settings for cancels of submissions that are not in the store.
+SubmissionCloserSettings CancelCloserSettings();
+
+/// \brief Closes submissions in the store before they are refused, or their cancel is answered.
 ///
 /// A host does not know what other hosts do with attempts of the same submission: one may have
 /// stored it, and a write of another may take effect seconds later. A closed submission is not
--- a/tests/emulator/true_refusals_test.cc
+++ b/tests/emulator/true_refusals_test.cc
@@ -41,6 +41,11 @@
   }
 }
 
+std::size_t CountOf(const SimulatedCluster& cluster, Outcome outcome) {
+  const auto found = cluster.answers().find(outcome);
+  return found == cluster.answers().end() ? 0 : found->second;
+}
+
 }  // namespace
 
 // The host that refused knew nothing of the attempt that another host had accepted.
@@ -154,4 +159,53 @@
   RequireNoViolations(&cluster);
 }
 
+// A cancel found no such submission while the write of an attempt was on its way. The write took
+// effect seconds after the cancel was answered, and the tasks ran on.
+TEST_CASE("a cancel of an unknown submission ends the writes of earlier attempts",
+          "[true_refusals]") {
+  const std::string cancelled_at = GENERATE("south-host-1", "north-host-0");
+  CAPTURE(cancelled_at);
+  RunningCluster cluster;
+  Attempts attempts(&cluster);
+  cluster.store_faults.write_faults["north-host-0"].late_write_probability = 1.0;
+  attempts.At("north-host-0");
+  cluster.Run(milliseconds(100));
+  if (cancelled_at == "north-host-0") {
+    cluster.store_faults.write_faults.clear();
+  }
+  cluster.Cancel(cancelled_at, kId);
+  cluster.Run(milliseconds(400));
+  REQUIRE(CountOf(cluster, Outcome::kUnknownId) == 1);
+  cluster.Run(seconds(10));
+  cluster.store_faults.write_faults.clear();
+  cluster.Run(seconds(5));
+  REQUIRE(cluster.checker().starts() == 0);
+  REQUIRE(attempts.outcomes == std::vector<Outcome>{Outcome::kInDoubt});
+  attempts.At("south-host-0");
+  cluster.Run(seconds(8));
+  REQUIRE(attempts.outcomes.back() == Outcome::kAccepted);
+  REQUIRE(cluster.checker().completed() == 1);
+  RequireNoViolations(&cluster);
+}
+
+// Cancels of ids that nobody has sent cost a write each.
+TEST_CASE("a flood of cancels of unknown submissions delays no refusal", "[true_refusals]") {
+  RunningCluster cluster;
+  Attempts attempts(&cluster);
+  DeregisterAllTargets(&cluster);
+  cluster.Run(milliseconds(600));
+  constexpr std::uint64_t kCancels = 3000;
+  constexpr std::uint64_t kFirstId = 1000000000000000;
+  for (std::uint64_t number = 0; number < kCancels; ++number) {
+    cluster.Cancel("north-host-0", SubmissionId(std::to_string(kFirstId + number)));
+  }
+  attempts.At("north-host-0");
+  cluster.Run(milliseconds(300));
+  REQUIRE(attempts.outcomes == std::vector<Outcome>{Outcome::kUnavailable});
+  cluster.Run(seconds(10));
+  REQUIRE(CountOf(cluster, Outcome::kUnknownId) + CountOf(cluster, Outcome::kUnavailable) ==
+          kCancels + 1);
+  RequireNoViolations(&cluster);
+}
+
 }  // namespace pistachio::emulator
