Acknowledge an end once no start of its task can arrive

Cause: a start without an answer may be carried out for 12 s. It was sent again, the run was done and its end acknowledged; the target crashed, and the next incarnation under its id carried the first send out before the first order that bars it. Nothing that an order carries bars it on a process that nobody knows of.

Change: OpenStarts holds the tasks of which any target may still carry out a start. An end as done, or the failure that uses up the attempts, is acknowledged only after that. A target that crashes takes such an end with it, so it never counts. A new owner waits 13 s for tasks of its inherited records, and an end from another cell is settled under the same condition. A target with such ends is asked every 200 ms, as it answers each hold at once; with 300 unacknowledged ends it gets no further run. A lost acknowledgement is repeated after 2 s.

--- a/emulator/fake_target.cc
+++ b/emulator/fake_target.cc
@@ -33,6 +33,7 @@
   this->booted_at = now;
   this->highest_token = 0;
   this->deadline = TargetTime(0);
+  this->lapsed = false;
   this->running.clear();
   this->ended.clear();
   this->finished.clear();
@@ -206,7 +207,7 @@
          first_unacknowledged->number <= order.acked_end;
        ++first_unacknowledged) {
     this->checker->OnEndAcknowledged(first_unacknowledged->task, first_unacknowledged->run,
-                                     first_unacknowledged->outcome);
+                                     this->entry.id.str(), first_unacknowledged->outcome);
   }
   this->finished.erase(this->finished.begin(), first_unacknowledged);
   for (const auto& [task, run] : this->running) {
@@ -261,6 +262,10 @@
     return;
   }
   const bool has_expired = this->ClockAt(now) > this->deadline;
+  if (has_expired && !this->lapsed) {
+    this->checker->OnLeaseLapsed(this->entry.id.str());
+  }
+  this->lapsed = has_expired;
   std::vector<std::pair<TaskKey, RunOutcome>> ends;
   for (auto& [task, run] : this->running) {
     if (has_expired) {
--- a/emulator/fake_target.h
+++ b/emulator/fake_target.h
@@ -128,6 +128,7 @@
   TimePoint booted_at{};
   FencingToken highest_token = 0;
   TargetTime deadline{0};                ///< end of the lease, on the target's own clock
+  bool lapsed = false;                   ///< the lease had ended at the last tick
   std::vector<FormerRoom> former_rooms;  ///< oldest first
   std::map<TaskKey, Run> running;
   std::map<TaskKey, RunNumber> ended;  ///< highest run that was stopped or has ended here
--- a/emulator/rule_checker.cc
+++ b/emulator/rule_checker.cc
@@ -234,6 +234,12 @@
   if (this->acknowledged_done.count(name) != 0) {
     this->AddViolation("TWICE", description + " after its end as done was acknowledged");
   }
+  const auto done = this->open_done_ends.find(name);
+  if (done != this->open_done_ends.end()) {
+    for (auto& [end, later_start] : done->second) {
+      later_start = description;
+    }
+  }
   for (const std::uint32_t earlier : found->second.spec.steps[task.step].after) {
     if (!this->IsStepDone(task.submission, task.occurrence, earlier)) {
       this->AddViolation("ORDER", description + " before the required step " +
@@ -329,12 +335,13 @@
   return found == this->starts_by_zone.end() ? 0 : found->second;
 }
 
-void RuleChecker::OnEnd(const TaskKey& task, RunNumber /*run*/, const std::string& target,
+void RuleChecker::OnEnd(const TaskKey& task, RunNumber run, const std::string& target,
                         RunOutcome outcome, const std::string& checkpoint) {
   const std::string name = task.str();
   this->running[name].erase(target);
   if (outcome == RunOutcome::kDone) {
     this->ended_done.insert(name);
+    this->open_done_ends[name].emplace(std::make_pair(target, run), "");
   }
   this->OnCheckpoint(task, checkpoint);
 }
@@ -345,9 +352,15 @@
   }
 }
 
-void RuleChecker::OnEndAcknowledged(const TaskKey& task, RunNumber /*run*/, RunOutcome outcome) {
+void RuleChecker::OnEndAcknowledged(const TaskKey& task, RunNumber run, const std::string& target,
+                                    RunOutcome outcome) {
   if (outcome == RunOutcome::kDone) {
     this->acknowledged_done.insert(task.str());
+    const auto end = this->open_done_ends[task.str()].extract({target, run});
+    if (!end.empty() && !end.mapped().empty()) {
+      this->AddViolation("TWICE", end.mapped() + " after run " + std::to_string(run) + " on " +
+                                      target + " had ended as done, which was acknowledged later");
+    }
   }
   if (outcome == RunOutcome::kFailed) {
     this->failures[task.str()]++;
@@ -369,6 +382,16 @@
   for (auto& [task, runs_by_target] : this->running) {
     runs_by_target.erase(target);
   }
+  // Its ends that are not acknowledged are gone with it.
+  this->OnLeaseLapsed(target);
+}
+
+void RuleChecker::OnLeaseLapsed(const std::string& target) {
+  for (auto& [task, ends] : this->open_done_ends) {
+    for (auto end = ends.begin(); end != ends.end();) {
+      end = end->first.first == target ? ends.erase(end) : std::next(end);
+    }
+  }
 }
 
 void RuleChecker::OnCapacityExceeded(const std::string& target, TimePoint now) {
--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -76,7 +76,13 @@
   /// After that of an end as done, every start of the task breaks the rule TWICE, whatever its
   /// lease was. A run of it that is at work then must be stopped or end: CheckAtEnd() reports the
   /// others.
-  void OnEndAcknowledged(const TaskKey& task, RunNumber run, RunOutcome outcome);
+  /// \brief Records that a target's lease has lapsed. The rule TWICE does not count its ends so far
+  /// that are not acknowledged yet.
+  void OnLeaseLapsed(const std::string& target);
+  /// \brief Records that a target has discarded an end. A start of the task since an end as done
+  /// breaks the rule TWICE from then on, before or after the acknowledgement.
+  void OnEndAcknowledged(const TaskKey& task, RunNumber run, const std::string& target,
+                         RunOutcome outcome);
   /// A target has crashed and all its runs are gone. Counts as a crash under each of their tasks.
   void OnTargetCrashed(const std::string& target);
   /// A target has left as planned and all its runs are gone.
@@ -186,6 +192,9 @@
   std::set<SubmissionId> failed_submissions_without_cause;  ///< see failed_without_cause()
   std::set<std::string> ended_done;                         ///< tasks with a run that ended as done
   std::set<std::string> acknowledged_done;  ///< tasks whose done end was acknowledged
+  /// By task, then by target and run, the ends as done that are not acknowledged, with the last
+  /// start of the task since.
+  std::map<std::string, std::map<std::pair<std::string, RunNumber>, std::string>> open_done_ends;
   std::map<std::string, std::set<std::string>> checkpoints;  ///< checkpoint names by task
   std::map<std::string, Evacuation> evacuations;             ///< by data centre
   std::map<std::string, std::size_t> starts_by_zone;         ///< number of starts by data centre
--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -122,7 +122,10 @@
        "Resources that a cell's targets have and use, and what its waiting tasks need, in "
        "thousandths of a core, every 2 s; also how many long-running tasks lost their run, the "
        "longest time that one of them has been without a run, how many submissions wait, and of "
-       "how many it is not known whether a run of the earlier owner has begun."},
+       "how many it is not known whether a run of the earlier owner has begun. `open-starts` is "
+       "the "
+       "number of tasks with a start that may still be carried out, `held-ends` that of the ends "
+       "that are not acknowledged for that reason."},
       {EventCode::kTargetRestarted, Severity::kWarning, "target-reborn",
        "A target restarted under the same id; starts without an answer may have been carried out "
        "by the new incarnation, so its list of runs is searched for them."},
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -161,6 +161,7 @@
       since >= internal::kMaxScheduleInterval) {
     this->schedule_due = false;
     this->last_schedule_at = now;
+    this->open_starts.Expire(now);
     this->Schedule(now);
     this->MoveRunsOffDrainingTargets(now);
   }
@@ -183,7 +184,11 @@
   std::size_t silent = 0;
   std::size_t suspect = 0;
   std::size_t over_bound = 0;
+  std::size_t held_ends = 0;
   for (const auto& [id, target] : this->targets) {
+    for (const auto& [number, end] : target.unacked_ends) {
+      held_ends += this->IsHeld(end, now) ? 1 : 0;
+    }
     capacity += target.load.capacity.cpu_millis;
     used += target.load.used.cpu_millis;
     serving += target.load.serving_cpu;
@@ -221,7 +226,9 @@
       {"without-run-ms", MillisecondsText(without_run.longest)},
       {"open", to_text(this->open_submissions.size())},
       {"pending", to_text(pending.waiting)},
-      {"unconfirmed", to_text(pending.unconfirmed)}};
+      {"unconfirmed", to_text(pending.unconfirmed)},
+      {"open-starts", to_text(this->open_starts.size())},
+      {"held-ends", to_text(held_ends)}};
   if (!this->evacuated_data_centres.empty()) {
     fields.emplace_back("evacuated", to_text(this->evacuated_data_centres.size()));
     fields.emplace_back("evacuated-runs", to_text(this->ProgressOfEvacuations().runs));
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -12,6 +12,7 @@
 #include "pistachio/process/scheduling/duration_model.h"
 #include "pistachio/process/scheduling/evacuation_moves.h"
 #include "pistachio/process/scheduling/not_begun_count.h"
+#include "pistachio/process/scheduling/open_starts.h"
 #include "pistachio/process/scheduling/waiting_order.h"
 
 namespace pistachio {
@@ -326,6 +327,14 @@
   static bool HasFormerToken(const Target& target, const internal::SentOrder& sent);
   /// \returns true if a start of the task's run that was sent may not have arrived yet.
   bool MayStillStart(const Target& target, const TaskKey& key, const Task& task) const;
+  /// \returns true if any target may still carry out a start of the task that this owner or an
+  ///   earlier one sent; for a member of a gang, a start of any member.
+  bool AnyStartMayArrive(const TaskKey& key, TimePoint now) const;
+  /// \returns true if the end may not be acknowledged yet, since a start of its task may still be
+  ///   carried out after which the rules allow none.
+  bool IsHeld(const internal::UnackedEnd& end, TimePoint now) const;
+  /// \returns the highest number up to which the target's ends may be acknowledged.
+  std::uint64_t LastAcknowledgeableEnd(const Target& target, TimePoint now) const;
   /// \returns true if an incarnation that has answered no order of this owner may still carry out a
   ///   start of the task's run that an earlier owner sent.
   bool InheritedStartMayArrive(const Task& task, TimePoint now) const;
@@ -467,6 +476,9 @@
   /// \returns true if an end as done of the task is to wait for the owner of another cell: the
   ///   submission is not in this cell, or a write that moves it is open and may take effect.
   bool IsForeignEnd(const FinishedRun& end);
+  /// Settles an end whose effects are in memory, once no start of its task may be carried out after
+  /// its acknowledgement.
+  void SettleOnceAcknowledgeable(const ForwardedEnd& end, TimePoint now);
   /// Handles the foreign ends of submissions that are in the cell after all, since the write of
   /// their move was rejected or since they have come back.
   void ApplyLocalEnds(TimePoint now);
@@ -775,6 +787,7 @@
   std::optional<EarlierCount> earlier_count;
   std::optional<internal::PendingCommit> open_commit;      ///< not confirmed by the store yet
   std::map<OrderTicket, internal::SentOrder> sent_orders;  ///< not answered yet
+  OpenStarts open_starts;                                  ///< of all targets
   std::vector<OutgoingOrder> orders;                       ///< for the next `TakeOrders`
   std::vector<EventRecord> events;                         ///< for the next `TakeEvents`
   CellCounters counts;
@@ -799,7 +812,9 @@
   std::map<SubmissionId, std::uint64_t> moved_away;
   /// Ends as done of submissions that are not in this cell, or that a write moves.
   std::set<ForwardedEnd> foreign_ends;
-  std::set<ForwardedEnd> inbox_ends;    ///< in the cell's inbox and in no commit yet
+  std::set<ForwardedEnd> inbox_ends;  ///< in the cell's inbox and in no commit yet
+  /// Ends whose effects are in memory and that wait, since a start of their task may arrive.
+  std::set<ForwardedEnd> applied_ends;
   std::set<ForwardedEnd> settled_ends;  ///< elements of the inbox for the next commit
   std::map<std::string, internal::UnprovenCrash> unproven_crashes;  ///< by the target's address
   std::deque<TargetLoss> recent_losses;          ///< oldest first, see `CrashSettings`
--- a/pistachio/process/scheduling/cell_foreign_ends.cc
+++ b/pistachio/process/scheduling/cell_foreign_ends.cc
@@ -44,6 +44,14 @@
   const bool foreign = this->IsForeignEnd(done);
   this->HandleLateEnd(nullptr, done, now);
   if (!foreign) {
+    this->SettleOnceAcknowledgeable(end, now);
+  }
+}
+
+void Cell::SettleOnceAcknowledgeable(const ForwardedEnd& end, TimePoint now) {
+  if (this->AnyStartMayArrive(end.task, now)) {
+    this->applied_ends.insert(end);
+  } else {
     this->SettleForeignEnd(end, now);
   }
 }
@@ -71,6 +79,13 @@
   for (const ForwardedEnd& end : std::set<ForwardedEnd>(this->foreign_ends)) {
     if (is_local(end)) {
       this->HandleLateEnd(nullptr, {0, end.task, end.run, RunOutcome::kDone, ""}, now);
+      this->foreign_ends.erase(end);
+      this->SettleOnceAcknowledgeable(end, now);
+    }
+  }
+  for (const ForwardedEnd& end : std::set<ForwardedEnd>(this->applied_ends)) {
+    if (!this->AnyStartMayArrive(end.task, now)) {
+      this->applied_ends.erase(end);
       this->SettleForeignEnd(end, now);
     }
   }
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -36,6 +36,9 @@
     if (sent.hold_number < target->first_open_hold) {
       return;  // The target has answered since.
     }
+    if (sent.acked_end > 0 && reply.status == OrderStatus::kNoAnswer) {
+      target->next_ack_at = now + this->settings.ack_retry_delay;
+    }
     if (target->failed_holds == 0) {
       target->silent_since = now;
       target->silence_uncertainty = sent.wait;
@@ -66,6 +69,8 @@
   }
   if (sent.incarnation == target->incarnation) {
     target->last_acked_end = std::max(target->last_acked_end, sent.acked_end);
+    target->unacked_ends.erase(target->unacked_ends.begin(),
+                               target->unacked_ends.upper_bound(target->last_acked_end));
   }
   // Answers may overtake each other, and so may the holds. Older lists lack later runs and ends.
   const bool outdated = sent.hold_number < target->last_listed_hold ||
@@ -119,8 +124,16 @@
   this->AdjustPaces(target, now);
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
   const bool waits_for_store = uncommitted || this->HasLeaseBound(target->entry.id);
+  const bool may_acknowledge = now >= target->next_ack_at &&
+                               this->LastAcknowledgeableEnd(*target, now) > target->last_acked_end;
+  const bool ends_held = target->last_durable_end > target->last_acked_end && !may_acknowledge;
   if (newest) {
-    target->next_hold_at = waits_for_store ? now + this->settings.uncommitted_poll_interval : now;
+    const Duration held_interval = target->tasks.empty()
+                                       ? this->settings.idle_held_end_poll_interval
+                                       : this->settings.held_end_poll_interval;
+    target->next_hold_at = now + (waits_for_store ? this->settings.uncommitted_poll_interval
+                                  : ends_held     ? held_interval
+                                                  : Duration{0});
   }
 }
 
@@ -129,6 +142,10 @@
     return;
   }
   target->last_seen_end = end.number;
+  const bool is_done = end.outcome == RunOutcome::kDone;
+  if (is_done || end.outcome == RunOutcome::kFailed) {
+    target->unacked_ends.emplace(end.number, internal::UnackedEnd{end.task, is_done});
+  }
   Submission* submission = this->FindSubmission(end.task.submission);
   Task* task = submission == nullptr ? nullptr : submission->FindTask(end.task);
   if (task != nullptr) {
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -287,6 +287,7 @@
 
 bool Cell::TakesWork(const Target& target, TimePoint now) const {
   return this->IsReady(target) && target.reconciled && target.clock &&
+         target.last_seen_end - target.last_acked_end < this->settings.max_unacked_ends &&
          target.failed_holds < this->settings.health.max_failed_holds &&
          target.health.MayStart(now) && !this->HasLeaseBound(target.entry.id) &&
          RunsLeft(target) > 0;
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -145,6 +145,8 @@
   target->last_seen_end = 0;
   target->last_durable_end = 0;
   target->last_acked_end = 0;
+  target->unacked_ends.clear();
+  target->next_ack_at = now;
   target->foreign_ends.clear();
   target->failed_holds = 0;
   // Holds to the earlier incarnation tell nothing of this one if they get no answer.
@@ -228,6 +230,47 @@
   });
 }
 
+bool Cell::AnyStartMayArrive(const TaskKey& key, TimePoint now) const {
+  const auto found = this->all_submissions.find(key.submission);
+  if (found == this->all_submissions.end()) {
+    return this->open_starts.MayArrive(key, now);
+  }
+  const Submission& submission = found->second;
+  if (now < submission.inherited_starts_until) {
+    return true;
+  }
+  if (key.step >= submission.accepted.spec.steps.size() || !submission.Step(key.step).gang) {
+    return this->open_starts.MayArrive(key, now);
+  }
+  TaskKey member = key;
+  for (member.index = 0; member.index < submission.Step(key.step).count; ++member.index) {
+    if (this->open_starts.MayArrive(member, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::uint64_t Cell::LastAcknowledgeableEnd(const Target& target, TimePoint now) const {
+  for (const auto& [number, end] : target.unacked_ends) {
+    if (number > target.last_durable_end) {
+      break;
+    }
+    if (this->IsHeld(end, now)) {
+      return std::max(target.last_acked_end, number - 1);
+    }
+  }
+  return target.last_durable_end;
+}
+
+bool Cell::IsHeld(const internal::UnackedEnd& end, TimePoint now) const {
+  const auto submission = this->all_submissions.find(end.task.submission);
+  // A failed run is followed by others until the attempts of its task are used up.
+  const bool last =
+      end.done || (submission != this->all_submissions.end() && submission->second.failed);
+  return last && this->AnyStartMayArrive(end.task, now);
+}
+
 bool Cell::InheritedStartMayArrive(const Task& task, TimePoint now) const {
   return task.inherited && now < this->acquired_at + this->settings.max_order_delay;
 }
@@ -357,10 +400,12 @@
   // Ends are numbered anew in each incarnation. A number of an earlier incarnation must not reach
   // one that has not answered yet, as it would discard ends that were never received. So an end is
   // acknowledged only shortly after an answer, and in a hold without a long poll.
-  const bool answered_recently = target->failed_holds == 0 && !further &&
+  const bool answered_recently = target->failed_holds == 0 && !further && !target->restart_seen &&
+                                 now >= target->next_ack_at &&
                                  now - target->answered_at < this->settings.max_answer_age_for_ack;
+  const std::uint64_t last_end = this->LastAcknowledgeableEnd(*target, now);
+  hold.acked_end = last_end > target->last_acked_end && answered_recently ? last_end : 0;
   const bool ack_due = target->last_durable_end > target->last_acked_end;
-  hold.acked_end = ack_due && answered_recently ? target->last_durable_end : 0;
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
   // The lease of a target with a lease bound is to be extended as soon as the bound is removed.
   const bool may_wait = target->reconciled && !uncommitted && !ack_due &&
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -95,6 +95,7 @@
   (task->sends == 0 ? this->counts.starts : this->counts.start_retries)++;
   task->sends++;
   task->order_in_flight = true;
+  this->open_starts.OnSent(key);
   this->EnqueueOrder(target, start, this->settings.order_timeout, sent, now);
 }
 
@@ -173,6 +174,13 @@
 
 void Cell::OnOrderReply(OrderTicket ticket, const OrderReply& reply, TimePoint now) {
   const auto found = this->TakeSentOrder(ticket);
+  if (found && found->kind == internal::SentOrder::Kind::kStart) {
+    if (reply.status == OrderStatus::kNoAnswer) {
+      this->open_starts.OnUnanswered(found->task, now + this->settings.max_order_delay);
+    } else {
+      this->open_starts.OnAnswered(found->task);
+    }
+  }
   Target* target = found ? this->FindTarget(found->target) : nullptr;
   if (target == nullptr) {
     return;
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -95,6 +95,17 @@
   /// two `uncommitted_poll_interval`. End numbers restart with each incarnation of a target, so a
   /// late acknowledgement could discard ends of an incarnation that has not answered yet.
   Duration max_answer_age_for_ack = std::chrono::milliseconds(300);
+  /// Interval of holds to a target with ends that may not be acknowledged yet. It answers each hold
+  /// at once, as it lists them again.
+  Duration held_end_poll_interval = std::chrono::milliseconds(200);
+  /// Replaces `held_end_poll_interval` on a target without runs.
+  Duration idle_held_end_poll_interval = std::chrono::milliseconds(1000);
+  /// A target with that many ends that are not acknowledged gets no further run. It lists at most
+  /// `kMaxFinishedPerReply`, and those of its present runs are to come.
+  std::uint64_t max_unacked_ends = 300;
+  /// Time after an acknowledgement without an answer before the next one. Each may be carried out
+  /// late, by a next incarnation that numbers its ends anew.
+  Duration ack_retry_delay = std::chrono::milliseconds(2000);
   /// An idle target gets another hold once the last reading of its clock is older than this time.
   Duration idle_hold_interval = std::chrono::milliseconds(10000);
   /// Time after which a start, a stop or a pace order counts as unanswered.
@@ -269,6 +280,12 @@
   bool refused = false;
 };
 
+/// An end as done or failed that the target lists until it is acknowledged.
+struct UnackedEnd {
+  TaskKey task;
+  bool done = false;
+};
+
 /// A run that a target has reported and that no task of the cell accounts for.
 struct OrphanedRun {
   RunNumber run = 0;
@@ -334,6 +351,9 @@
   /// By number, the ends in `Cell::foreign_ends`. None of them is acknowledged.
   std::map<std::uint64_t, ForwardedEnd> foreign_ends;
   std::uint64_t last_acked_end = 0;  ///< highest end number whose acknowledgement was answered
+  /// By number, the ends as done or failed that are not acknowledged.
+  std::map<std::uint64_t, UnackedEnd> unacked_ends;
+  TimePoint next_ack_at{};  ///< no end is acknowledged before
   /// Holds sent since the last usable answer that were not answered in time, or were rejected for a
   /// reason other than a fencing token or a target id.
   std::uint32_t failed_holds = 0;
