Bar a lost acknowledgement with the token of all later starts

Cause, as far as shown: an acknowledgement without an answer may be carried out by the next incarnation of the target. The target's token rose only once the owner knew of that incarnation. A start that it did before had the token of the acknowledgement, so its end could be discarded before anybody had received it.

Change: a lost acknowledgement raises the target's token at once. Starts wait for it, as they do after a restart. The acknowledgement has timed out before it may be carried out late, so every start after it bars it on any incarnation, known or not.

Measured: the new test fails before and passes. All 225 cases of test_scheduling pass.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -322,6 +322,9 @@
   /// Gives a target whose token is outdated the revision of the last confirmed write, if that is
   /// higher, so that the target refuses orders made for its earlier incarnations.
   void RaiseToken(Target* target, TimePoint now);
+  /// Defers further acknowledgements after the one in \a sent got no answer, and makes all later
+  /// orders to the target bar it.
+  void FenceLostAcknowledgement(Target* target, const internal::SentOrder& sent, TimePoint now);
   /// \returns true if \a sent was refused only because the target has a higher token from this
   ///   owner now. The incarnation that refused the order has not carried it out.
   static bool HasFormerToken(const Target& target, const internal::SentOrder& sent);
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -33,12 +33,12 @@
   }
   if (reply.status != OrderStatus::kDone) {
     this->NoteDeadline(target, sent, reply.status, now);
+    if (sent.acked_end > 0 && reply.status == OrderStatus::kNoAnswer) {
+      this->FenceLostAcknowledgement(target, sent, now);
+    }
     if (sent.hold_number < target->first_open_hold) {
       return;  // The target has answered since.
     }
-    if (sent.acked_end > 0 && reply.status == OrderStatus::kNoAnswer) {
-      target->next_ack_at = now + this->settings.ack_retry_delay;
-    }
     if (target->failed_holds == 0) {
       target->silent_since = now;
       target->silence_uncertainty = sent.wait;
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -215,6 +215,18 @@
   }
 }
 
+void Cell::FenceLostAcknowledgement(Target* target, const internal::SentOrder& sent,
+                                    TimePoint now) {
+  target->next_ack_at = now + this->settings.ack_retry_delay;
+  if (HasFormerToken(*target, sent)) {
+    return;
+  }
+  // The next incarnation may carry the acknowledgement out, which would discard an end that nobody
+  // has received. It refuses the acknowledgement if its first start has a higher token.
+  target->token_outdated = true;
+  this->RaiseToken(target, now);
+}
+
 bool Cell::HasFormerToken(const Target& target, const internal::SentOrder& sent) {
   return sent.token < target.token;
 }
--- a/tests/scheduling/late_acknowledgement_test.cc
+++ b/tests/scheduling/late_acknowledgement_test.cc
@@ -88,5 +88,59 @@
   CHECK_FALSE(fixture.Take<StartOrder>());
 }
 
+// The next incarnation may do the work of a start before its owner learns that there is a next one.
+TEST_CASE("starts have a higher token than an acknowledgement without an answer", "[cell][holds]") {
+  CellFixture fixture;
+  const bool lost = GENERATE(true, false);
+  CAPTURE(lost);
+  OrderReply done;
+  done.status = OrderStatus::kDone;
+  fixture.cell.OnOrderReply(fixture.PlaceTask(), done, fixture.now);
+  HoldReply ended = fixture.Reply();
+  ended.finished.push_back(FinishedRun{1, kTask, 1, RunOutcome::kDone, ""});
+  fixture.AnswerHold(ended);
+  fixture.Advance(milliseconds(30));
+  const auto token_of = [&fixture](auto is_wanted) {
+    const auto order = std::find_if(
+        fixture.sent.begin(), fixture.sent.end(),
+        [&is_wanted](const OutgoingOrder& sent) { return is_wanted(sent.order.order); });
+    REQUIRE(order != fixture.sent.end());
+    return order->token;
+  };
+  const FencingToken acknowledgement_token = token_of([](const auto& order) {
+    const auto* hold = std::get_if<HoldOrder>(&order);
+    return hold != nullptr && hold->acked_end == 1;
+  });
+  const auto acknowledgement = fixture.Take<HoldOrder>();
+  REQUIRE(acknowledgement);
+  const bool further_hold_was_answered = lost && GENERATE(false, true);
+  CAPTURE(further_hold_was_answered);
+  if (further_hold_was_answered) {
+    fixture.Advance(milliseconds(400));
+    fixture.AnswerHold(fixture.Reply());
+  }
+  fixture.Advance(milliseconds(400));
+  fixture.sent.clear();
+  fixture.cell.OnHoldReply(acknowledgement->first, lost ? HoldReply{} : fixture.Reply(),
+                           fixture.now);
+
+  AcceptedSubmission second = fixture.Accepted();
+  second.id = SubmissionId("00000000000000b2");
+  fixture.cell.Accept(second, 2, fixture.now);
+  const auto is_start = [](const auto& order) { return std::holds_alternative<StartOrder>(order); };
+  const auto has_start = [&fixture, &is_start] {
+    return std::any_of(
+        fixture.sent.begin(), fixture.sent.end(),
+        [&is_start](const OutgoingOrder& sent) { return is_start(sent.order.order); });
+  };
+  for (int i = 0; i < 20 && !has_start(); ++i) {
+    fixture.Advance(milliseconds(100));
+    while (const auto hold = fixture.Take<HoldOrder>()) {
+      fixture.cell.OnHoldReply(hold->first, fixture.Reply(), fixture.now);
+    }
+  }
+  CHECK((token_of(is_start) > acknowledgement_token) == lost);
+}
+
 }  // namespace
 }  // namespace pistachio
