Put the comment on acknowledged ends at its function

Cause: the case for lapsed leases was inserted below the comment of OnEndAcknowledged, which therefore stood at the wrong function.

Change: comments of the emulator's checker only.

--- a/emulator/rule_checker.h
+++ b/emulator/rule_checker.h
@@ -71,16 +71,14 @@
              const std::string& checkpoint);
   /// A run has saved a checkpoint. An empty name is ignored.
   void OnCheckpoint(const TaskKey& task, const std::string& checkpoint);
-  /// \brief An owner has acknowledged the end of a run to the target.
-  ///
-  /// After that of an end as done, every start of the task breaks the rule TWICE, whatever its
-  /// lease was. A run of it that is at work then must be stopped or end: CheckAtEnd() reports the
-  /// others.
   /// \brief Records that a target's lease has lapsed. The rule TWICE does not count its ends so far
   /// that are not acknowledged yet.
   void OnLeaseLapsed(const std::string& target);
-  /// \brief Records that a target has discarded an end. A start of the task since an end as done
-  /// breaks the rule TWICE from then on, before or after the acknowledgement.
+  /// \brief An owner has acknowledged the end of a run to the target, which has discarded it.
+  ///
+  /// A start of the task since an end as done breaks the rule TWICE from its acknowledgement on, be
+  /// the start before or after that, whatever its lease was. A run of the task that is at work at
+  /// the acknowledgement must be stopped or end: CheckAtEnd() reports the others.
   void OnEndAcknowledged(const TaskKey& task, RunNumber run, const std::string& target,
                          RunOutcome outcome);
   /// A target has crashed and all its runs are gone. Counts as a crash under each of their tasks.
