Send no hold for a token that a lost acknowledgement has raised

At most four may be open, so where three of ten get no answer, the four were used up sooner and the target was not asked until one timed out. The start that has to bar the acknowledgement carries the token itself.

Change: only a restart sends the hold at once (CellTarget::announces_token).

--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -135,6 +135,7 @@
   // Orders made since the restart was seen carry a token that no earlier incarnation got.
   const bool token_is_new = target->restart_seen && !target->token_outdated;
   target->token_outdated = target->token_outdated || (target->token_used && !token_is_new);
+  target->announces_token = target->token_outdated;
   target->restart_seen = false;
   this->RaiseToken(target, now);
   ForgetClock(target);
@@ -175,6 +176,7 @@
   target->restart_seen_at_hold = target->holds_sent;
   ForgetClock(target);
   target->token_outdated = target->token_outdated || target->token_used;
+  target->announces_token = target->token_outdated;
   this->RaiseToken(target, now);
   target->next_hold_at = now;
   target->further_hold_at = now;
@@ -197,11 +199,14 @@
   target->token = this->confirmed_revision;
   target->token_used = false;
   target->token_outdated = false;
-  target->token_unconfirmed = true;
   this->highest_token = target->token;
-  // The target refuses the earlier orders from the first one with the higher token on.
-  target->next_hold_at = now;
-  target->further_hold_at = now;
+  if (target->announces_token) {
+    // The target refuses the earlier orders from the first one with the higher token on.
+    target->announces_token = false;
+    target->token_unconfirmed = true;
+    target->next_hold_at = now;
+    target->further_hold_at = now;
+  }
 }
 
 void Cell::ConfirmWrite(FencingToken revision, TimePoint now) {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -303,9 +303,13 @@
   TimePoint known_since{};  ///< since when this process has known the incarnation
   FencingToken token = 0;   ///< of all orders to the target that are made now
   bool token_used = false;  ///< an order with the token has been made
-  /// Orders with the token were made for an earlier incarnation. The next write raises the token.
+  /// Orders with the token are to be refused by the incarnation that is up, or by the next one. The
+  /// next write raises the token.
   bool token_outdated = false;
-  /// The token was raised, and the incarnation has answered no hold that carries it yet.
+  /// A hold carries the next token to the target at once, since a restart is the reason for it.
+  bool announces_token = false;
+  /// The token was raised for a restart, and the incarnation has answered no hold that carries it
+  /// yet.
   bool token_unconfirmed = false;
   /// An answer has shown that a later incarnation is up whose number is not known yet. What the
   /// other fields describe has ended.
