Log for how long a target has been out of reach

Cause: without-run-ms of cell-load and task-overdue counts from the end of the lease, 7.8 s before the run is given up, whatever the wait was. For a target that a new owner never reaches, callers see up to 16 s that no line showed.

Change: cell-load has the number of long-running tasks on targets out of reach and the longest time since one of these was in reach, or since the cell had no owner; task-overdue and target-runs-lost have the same time. No decision uses it.

--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -92,8 +92,10 @@
        "most. `why` says what it waits for: `quiet-target` (its last target crashed beside it), "
        "`reserved-place` (short tasks on the target named), `no-place` (no target could take it "
        "even without its short tasks), `commit`, `start` (no answer yet), `registrations`, "
-       "`orphaned-run` or `move`. The fields give its processors, the most that any target has "
-       "free, and the most that any has free of long-running work."},
+       "`orphaned-run` or `move`. without-run-ms counts from the end of the lease of a run whose "
+       "target was lost, unreached-ms from when that target was last in reach. The fields give its "
+       "processors, the most that any target has free, and the most that any has free of "
+       "long-running work."},
       {EventCode::kTargetListed, Severity::kInfo, "target-listed",
        "A target has registered or changed its state."},
       {EventCode::kTargetUnlisted, Severity::kWarning, "target-unlisted",
@@ -108,8 +110,8 @@
        "runs expired. `lease` says where the end of the lease comes from: own (orders of this "
        "owner), inherited (the longest lease that an earlier owner may have set, or what it has "
        "written) or former-incarnation (a deadline that was sent to the incarnation before); "
-       "answered-ms is the time since the target's last answer to this owner, taken-ms that since "
-       "the takeover."},
+       "answered-ms is the time since the target's last answer to this owner, unreached-ms that or "
+       "else the time since the cell had no owner, and taken-ms that since the takeover."},
       {EventCode::kTargetSuspect, Severity::kWarning, "target-suspect",
        "Runs of several submissions failed or made no progress on a target. It gets no work for "
        "a pause, then one run at a time. Check the target."},
@@ -121,7 +123,10 @@
       {EventCode::kCellLoad, Severity::kInfo, "cell-load",
        "Resources that a cell's targets have and use, and what its waiting tasks need, in "
        "thousandths of a core, every 2 s; also how many long-running tasks lost their run, the "
-       "longest time that one of them has been without a run, how many submissions wait, and of "
+       "longest time that one of them has been without a run. `unreached` is the number of those "
+       "whose target does not answer or had not answered until its lease expired, unreached-ms the "
+       "longest time since such a target was in reach, or since the cell had no owner. Also how "
+       "many submissions wait, and of "
        "how many it is not known whether a run of the earlier owner has begun. `open-starts` is "
        "the "
        "number of tasks with a start that may still be carried out, `held-ends` that of the ends "
--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -224,6 +224,8 @@
       {"waiting-fill-m", to_text(waiting_best_effort)},
       {"without-run", to_text(without_run.count)},
       {"without-run-ms", MillisecondsText(without_run.longest)},
+      {"unreached", to_text(without_run.unreached)},
+      {"unreached-ms", MillisecondsText(without_run.longest_unreached)},
       {"open", to_text(this->open_submissions.size())},
       {"pending", to_text(pending.waiting)},
       {"unconfirmed", to_text(pending.unconfirmed)},
@@ -244,7 +246,7 @@
     for (const auto& [number, occurrence] : submission.occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         const StepProgress& progress = occurrence.steps[step];
-        if (progress.waiting == 0 || !submission.Step(step).long_running) {
+        if (!submission.Step(step).long_running) {
           continue;
         }
         for (const Task& task : progress.tasks) {
@@ -252,6 +254,18 @@
             result.count++;
             result.longest = std::max(result.longest, this->TimeWithoutRun(task, now));
           }
+          const auto target = this->targets.find(task.incarnation.target);
+          const bool waits_for_lease = task.phase == TaskPhase::kRunning &&
+                                       target != this->targets.end() &&
+                                       target->second.failed_holds > 0;
+          const bool lost =
+              task.phase == TaskPhase::kWaiting && task.unreached_since != TimePoint{};
+          if (waits_for_lease || lost) {
+            const TimePoint since =
+                lost ? task.unreached_since : this->UnreachedSince(target->second);
+            result.unreached++;
+            result.longest_unreached = std::max(result.longest_unreached, now - since);
+          }
         }
       }
     }
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -233,8 +233,16 @@
   struct TasksWithoutRun {
     std::size_t count = 0;
     Duration longest{0};
+    /// Those on targets that do not answer, and those that lost their run to the expiry of a lease.
+    std::size_t unreached = 0;
+    Duration longest_unreached{0};  ///< longest time since their target was last in reach
   };
   TasksWithoutRun CountTasksWithoutRun(TimePoint now) const;
+  /// \returns since when the target has been out of reach: its last answer to this owner, or else
+  ///   the time from which on the cell had no earlier owner.
+  TimePoint UnreachedSince(const Target& target) const {
+    return target.answered_at != TimePoint{} ? target.answered_at : this->no_owner_at;
+  }
   /// Logs the load of the cell at a fixed interval.
   void LogLoad(TimePoint now);
   /// Logs once a second which long-running tasks have had no run for 6 s, and what each waits for.
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -329,6 +329,7 @@
        {"lease", LeaseSource(*target)},
        {"answered-ms",
         target->answered_at == TimePoint{} ? "none" : MillisecondsText(now - target->answered_at)},
+       {"unreached-ms", MillisecondsText(now - this->UnreachedSince(*target))},
        {"taken-ms", MillisecondsText(now - this->acquired_at)}});
   // Nothing was heard of the runs since the last extension of a lease that has expired. The former
   // owner of an inherited run has extended it.
@@ -343,6 +344,7 @@
       task->run_seen_at = last_extended_at;
     }
     this->Requeue(submission, key, task, cause, now);
+    task->unreached_since = proven ? TimePoint{} : this->UnreachedSince(*target);
     this->EndIfFinished(submission);
   }
 }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -339,6 +339,7 @@
   task->destination = TargetId();
   task->reserved_since.reset();
   task->run_seen_at = now;
+  task->unreached_since = TimePoint{};
   task->phase_since = now;
   task->started_at = now;
   task->confirmed_later = origin == AnswerOrigin::kLater;
--- a/pistachio/process/scheduling/cell_waits.cc
+++ b/pistachio/process/scheduling/cell_waits.cc
@@ -93,6 +93,9 @@
              {"target", task.incarnation.target.str()},
              {"why", this->ReasonOfWait(submission, key, task, now)},
              {"without-run-ms", MillisecondsText(this->TimeWithoutRun(task, now))},
+             {"unreached-ms", task.unreached_since == TimePoint{}
+                                  ? "none"
+                                  : MillisecondsText(now - task.unreached_since)},
              {"in-phase-ms", MillisecondsText(now - task.phase_since)},
              {"need-m", std::to_string(spec.need.cpu_millis)},
              {"most-free-m", std::to_string(most_free)},
--- a/pistachio/process/scheduling/submission.h
+++ b/pistachio/process/scheduling/submission.h
@@ -92,6 +92,9 @@
   /// When a run of the task was last known to exist; unset while none is known. The epoch if it
   /// ended under an earlier owner.
   std::optional<TimePoint> run_seen_at;
+  /// The last run was given up because its lease had expired: since when its target had been out of
+  /// reach, see `Cell::UnreachedSince`. The epoch for any other end.
+  TimePoint unreached_since{};
   /// The target that has room, or where room is made, for the task's next run; empty while there is
   /// none. Reservations for the task stay there.
   TargetId destination;
