Reserve room for long-running tasks before the leases of their targets expire

Cause: nothing was reserved before the expiry, although its time is known. Two decisions prevent it. More than a tenth of the targets are silent, so a network may have failed, and then no place is reserved at all; new short work goes on taking the room. And a run of an earlier owner on a target that never answers the new one is in the phase of a start, which neither the reservations nor the stops for them consider.

Change: places are reserved from 3 s before the expiry of a silent target's lease on, however many targets are silent. Runs are still stopped for them only if few registered targets are silent; targets that have left the platform's list have not lost their network alone. Tasks in the phase of a start that may have begun count as runs on a silent target.

Evidence: two of the three new cases of test_scheduling "[room_ahead_of_expiry]" fail on the commit before: no start within 0.5 s of the expiry, and new work takes the room. A reservation long before the expiry is tested against as well, and passes before and after.

--- a/pistachio/process/scheduling/cell.cc
+++ b/pistachio/process/scheduling/cell.cc
@@ -256,8 +256,7 @@
             result.longest = std::max(result.longest, this->TimeWithoutRun(task, now));
           }
           const auto target = this->targets.find(task.incarnation.target);
-          const bool waits_for_lease = task.phase == TaskPhase::kRunning &&
-                                       target != this->targets.end() &&
+          const bool waits_for_lease = task.HoldsResources() && target != this->targets.end() &&
                                        target->second.failed_holds > 0;
           const bool lost =
               task.phase == TaskPhase::kWaiting && task.unreached_since != TimePoint{};
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -732,9 +732,11 @@
   void ReleaseReservationOn(Target* target, const Submission& submission, const TaskKey& key);
   /// \returns true if so few targets are silent that these have failed, not a network.
   bool FewTargetsSilent() const;
-  /// \returns true if the long-running runs of the target need another place: it drains, or it has
-  ///   been silent for too long.
+  /// \returns true if the long-running runs of the target need another place: it drains, it has
+  ///   been silent for too long, or it is silent and its lease expires soon.
   bool IsLeaving(const Target& target, bool few_silent, TimePoint now) const;
+  /// \returns true if the task of a target that is leaving may lose its run there.
+  static bool NeedsPlace(const Target& target, const Task& task);
   /// \returns true if no further task of the step of \a key may run on the target, counting the
   ///   tasks that resources are reserved for.
   bool IsAtStepLimit(const Target& target, const StepSpec& spec, const TaskKey& key) const;
--- a/pistachio/process/scheduling/cell_evacuation.cc
+++ b/pistachio/process/scheduling/cell_evacuation.cc
@@ -142,9 +142,20 @@
   if (target.entry.state == TargetState::kDraining) {
     return true;
   }
-  const bool silent = target.failed_holds >= this->settings.health.max_failed_holds;
-  return silent && few_silent &&
-         (!target.registered || now - target.silent_since >= this->settings.preemption.max_silence);
+  if (target.failed_holds < this->settings.health.max_failed_holds) {
+    return false;
+  }
+  // However many are silent, new work must not take the room that will be needed soon.
+  const PreemptionSettings& limits = this->settings.preemption;
+  return target.lease_expires_at - now <= limits.reserve_ahead_of_expiry ||
+         (few_silent && (!target.registered || now - target.silent_since >= limits.max_silence));
+}
+
+bool Cell::NeedsPlace(const Target& target, const Task& task) {
+  // Of a run that an earlier owner has assigned, a silent target has shown nothing yet.
+  const bool may_have_begun = task.phase == TaskPhase::kStarting && !task.IsUnsent() &&
+                              target.entry.state != TargetState::kDraining;
+  return task.phase == TaskPhase::kRunning || may_have_begun;
 }
 
 void Cell::KeepDestinations(TimePoint now) {
@@ -158,7 +169,7 @@
     for (const TaskKey& key : target.tasks) {
       Submission* submission = this->FindSubmission(key.submission);
       Task* task = submission->FindTask(key);
-      const bool runs = task->phase == TaskPhase::kRunning;
+      const bool runs = NeedsPlace(target, *task);
       const bool moves =
           task->phase == TaskPhase::kStopping && task->stop_reason == StopReason::kMoved;
       if (target.is_leaving && !task->destination.empty() && (runs || moves)) {
@@ -181,7 +192,7 @@
       Submission* submission = this->FindSubmission(key.submission);
       Task* task = submission->FindTask(key);
       const StepSpec& spec = submission->Step(key.step);
-      if (!spec.long_running || spec.gang || task->phase != TaskPhase::kRunning) {
+      if (!spec.long_running || spec.gang || !NeedsPlace(target, *task)) {
         continue;
       }
       this->ReleaseReservation(*submission, key, *task);
--- a/pistachio/process/scheduling/cell_preemption.cc
+++ b/pistachio/process/scheduling/cell_preemption.cc
@@ -120,15 +120,16 @@
       this->orphaned_tasks.count(key) != 0 || this->WaitsForQuietTarget(spec, task, now)) {
     return false;
   }
-  if (task.phase != TaskPhase::kRunning) {
-    return task.phase == TaskPhase::kWaiting;
+  if (task.phase == TaskPhase::kWaiting) {
+    return true;
   }
   const Target* target = this->FindTarget(task.incarnation.target);
-  if (target == nullptr) {
+  if (target == nullptr || !NeedsPlace(*target, task)) {
     return false;
   }
   if (target->entry.state != TargetState::kDraining) {
-    return target->lease_expires_at - now <= this->settings.preemption.ahead_of_expiry;
+    return target->lease_expires_at - now <= this->settings.preemption.ahead_of_expiry &&
+           !this->ManyRegisteredTargetsSilent();
   }
   const Duration time_left = target->entry.drain_remaining - (now - target->draining_since);
   return !target->registered || time_left <= this->settings.preemption.ahead_of_exit;
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -39,8 +39,12 @@
   /// stop takes some tenths of a second. A target that was cut off answers up to
   /// `silent_hold_timeout` after it can be reached again.
   Duration ahead_of_expiry = std::chrono::milliseconds(1000);
-  /// Largest share of the cell's targets that may be silent for places to be reserved; a single
-  /// one always may. If more are, a network rather than a target has failed.
+  /// Time before the expiry of a silent target's lease from which on places are reserved for its
+  /// runs, however many targets are silent. Short tasks take that long to end.
+  Duration reserve_ahead_of_expiry = std::chrono::milliseconds(3000);
+  /// Largest share of the cell's targets that may be silent for places to be reserved earlier, and
+  /// for runs to be stopped there; a single one always may. If more are, a network rather than a
+  /// target has failed.
   double max_silent_share = 0.1;
   /// Number of times that one task may be stopped. A task without checkpoints starts anew each
   /// time.
