Suspect no run of a target that a new owner has never reached without a proof

Cause: when the inherited lease of a target expired that had never answered the new owner, each of its runs was suspected of having crashed it. When such a target was lost is unknown, so it was never counted as lost together with others.

Change: such a loss is remembered, and its runs are suspected once a later incarnation at the same address proves a crash.

--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -91,7 +91,11 @@
   if (kind == LossKind::kOutage) {
     return;
   }
-  this->CountCrash(&runs, kind, proven, target->entry.id);
+  // A target that this owner has never reached was lost at an unknown time, perhaps together with
+  // the former owner and with others. That is no reason to suspect a run; a proof of a crash is.
+  if (proven || target->answered) {
+    this->CountCrash(&runs, kind, proven, target->entry.id);
+  }
   if (!proven) {
     this->unproven_crashes[target->entry.address] =
         internal::UnprovenCrash{kind, target->incarnation, now, std::move(runs)};
--- a/tests/scheduling/room_ahead_of_expiry_test.cc
+++ b/tests/scheduling/room_ahead_of_expiry_test.cc
@@ -69,6 +69,17 @@
   REQUIRE(fixture.starts.size() == kLost.size());
 }
 
+// A new owner made no place for runs that it had never seen: to it they were starts.
+TEST_CASE("tasks of targets that never answer a new owner have places when the leases expire",
+          "[cell][room_ahead_of_expiry]") {
+  LostTogetherFixture fixture(seconds(4));
+  fixture.Lose(true);
+  fixture.FinishLoading();
+  fixture.RunUntilExpiry(seconds(11));
+  fixture.Run(milliseconds(500));
+  REQUIRE(fixture.starts.size() == kLost.size());
+}
+
 // The targets are registered, so the network may have failed. Nothing is stopped for them, but new
 // work does not take the room that their tasks need if the leases do expire.
 TEST_CASE("new work takes no room that tasks of silent targets need soon",
