Log what rules out the targets for an overdue task

Cause: why=no-place of task-overdue did not say which resource or rule it was, so a cell full of long-running work looked like one whose targets are kept for suspects or reserved.

Change: `ruled-out` counts the targets by what rules them out for the task even without their short tasks. No decision uses it.

Result: test_scheduling "the log says what rules out the targets for an overdue task".

--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -95,7 +95,10 @@
        "`orphaned-run` or `move`. without-run-ms counts from the end of the lease of a run whose "
        "target was lost, unreached-ms from when that target was last in reach. The fields give its "
        "processors, the most that any target has free, and the most that any has free of "
-       "long-running work."},
+       "long-running work. `ruled-out` counts the targets by what rules them out even without "
+       "their short tasks: `no-work` (not ready, silent, or of another service or kind), `kept` "
+       "(for a suspected task), `cpu`, `other-resource`, `limit` (of tasks of the step on one "
+       "target), `reserved` (for other tasks) or `nothing`."},
       {EventCode::kTargetListed, Severity::kInfo, "target-listed",
        "A target has registered or changed its state."},
       {EventCode::kTargetUnlisted, Severity::kWarning, "target-unlisted",
--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -265,6 +265,9 @@
   void LogOverdueTasks(TimePoint now);
   void LogOverdueTask(const Submission& submission, const TaskKey& key, const Task& task,
                       TimePoint now);
+  /// \returns the number of targets by what rules them out for the task even without their short
+  ///   tasks, as it stands in the log.
+  std::string WhatRulesOut(const Submission& submission, const TaskKey& key, TimePoint now) const;
   /// \returns what a task without a run waits for, as it stands in the log.
   const char* ReasonOfWait(const Submission& submission, const TaskKey& key, const Task& task,
                            TimePoint now) const;
--- a/pistachio/process/scheduling/cell_waits.cc
+++ b/pistachio/process/scheduling/cell_waits.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "pistachio/process/scheduling/cell.h"
@@ -68,6 +70,37 @@
   }
 }
 
+std::string Cell::WhatRulesOut(const Submission& submission, const TaskKey& key,
+                               TimePoint now) const {
+  const StepSpec& spec = submission.Step(key.step);
+  const ServiceId service = this->ServiceOf(submission);
+  const Resources need = internal::CountedResources(spec);
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, target] : this->targets) {
+    const Resources left = target.load.capacity - target.long_running_used;
+    const char* cause = "nothing";
+    if (!this->MayRunOn(target, spec, service, now)) {
+      cause = "no-work";
+    } else if (target.suspect_task) {
+      cause = "kept";
+    } else if (left.cpu_millis < need.cpu_millis) {
+      cause = "cpu";
+    } else if (!need.FitsIn(left)) {
+      cause = "other-resource";
+    } else if (this->IsAtStepLimit(target, spec, key)) {
+      cause = "limit";
+    } else if (!(target.reserved + need).FitsIn(left)) {
+      cause = "reserved";
+    }
+    counts[cause]++;
+  }
+  std::string text;
+  for (const auto& [cause, count] : counts) {
+    text += (text.empty() ? "" : ",") + cause + ":" + std::to_string(count);
+  }
+  return text;
+}
+
 void Cell::LogOverdueTask(const Submission& submission, const TaskKey& key, const Task& task,
                           TimePoint now) {
   const StepSpec& spec = submission.Step(key.step);
@@ -100,6 +133,7 @@
              {"need-m", std::to_string(spec.need.cpu_millis)},
              {"most-free-m", std::to_string(most_free)},
              {"most-free-of-long-m", std::to_string(most_without_short)},
+             {"ruled-out", this->WhatRulesOut(submission, key, now)},
              {"reserved-on", reserved_on.str()}});
 }
 
--- a/tests/scheduling/room_ahead_of_expiry_test.cc
+++ b/tests/scheduling/room_ahead_of_expiry_test.cc
@@ -102,6 +102,27 @@
   REQUIRE(fixture.starts.size() == kLost.size());
 }
 
+TEST_CASE("the log says what rules out the targets for an overdue task",
+          "[cell][room_ahead_of_expiry]") {
+  ReservationFixture fixture;
+  fixture.Load("00000000000000a1", LongRunningStep({3000, 100, 0}), {"t1", "t2"});
+  fixture.Load("00000000000000a2", LongRunningStep({100, 3500, 0}), {"t3"});
+  fixture.Load("00000000000000a3", LongRunningStep({2000, 1000, 0}), {""});
+  for (const char* target : {"t1", "t2", "t3"}) {
+    fixture.PutTarget(target);
+  }
+  fixture.PutTarget("t4", TargetState::kDraining);
+  fixture.FinishLoading();
+  fixture.Run(seconds(7));
+  const auto line = std::find_if(
+      fixture.lines.begin(), fixture.lines.end(),
+      [](const std::string& text) { return text.find("task-overdue") != std::string::npos; });
+  REQUIRE(line != fixture.lines.end());
+  CAPTURE(*line);
+  REQUIRE(line->find("why=no-place") != std::string::npos);
+  REQUIRE(line->find("ruled-out=cpu:2,no-work:1,other-resource:1") != std::string::npos);
+}
+
 TEST_CASE("no room is kept for silent targets long before their leases expire",
           "[cell][room_ahead_of_expiry]") {
   LostTogetherFixture fixture;
