--- a/tests/emulator/lost_together_test.cc
+++ b/tests/emulator/lost_together_test.cc
@@ -57,7 +57,7 @@
 
   /// Kills the owner. \returns its name
   std::string KillOwner() {
-    const std::string owner = this->cluster.OwnerOf("all");
+    std::string owner = this->cluster.OwnerOf("all");
     this->cluster.KillHost(owner);
     return owner;
   }
