--- a/review/standin-3/common.hpp
+++ b/review/standin-3/common.hpp
@@ -12,6 +12,7 @@
   std::string host = "nony24.example";
   int version = 1;
   Json routes = Json::array();
+  std::function<std::string(int)> rack_of = [](int worker) { return "r1-" + std::to_string(worker / 2); };
 
   Setup(const std::string& program, const std::string& directory, std::uint64_t seed)
       : deployment(program, directory), random(seed) {
@@ -36,7 +37,7 @@
     this->PutConfig();
     for (int i = 0; i < workers; ++i) {
       const std::string zone = this->deployment.zones[static_cast<std::size_t>(i) % 3];
-      this->world->Boot(this->world->Add("w" + std::to_string(i), zone, "r1-" + std::to_string(i / 2)), true);
+      this->world->Boot(this->world->Add("w" + std::to_string(i), zone, this->rack_of(i)), true);
     }
     for (int i = 0; i < nodes; ++i) {
       this->deployment.Start(i);
--- a/review/standin-3/lab.hpp
+++ b/review/standin-3/lab.hpp
@@ -220,6 +220,15 @@
     close(this->listener);
     this->CutChannels();
   }
+  /// The open channels go silent for good, without a reset; new ones work.
+  void MuteChannels() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->muted = this->channels;
+  }
+  bool Muted(int fd) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->muted.count(fd) != 0;
+  }
   void CutChannels() {
     const std::lock_guard<std::mutex> lock(this->mutex);
     for (const int fd : this->channels) {
@@ -256,7 +265,13 @@
       const std::size_t mark = target.find('?');
       request.path = target.substr(0, mark);
       request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+      if (this->Muted(fd)) {
+        continue;
+      }
       const Response response = this->handler(request);
+      if (this->Muted(fd)) {
+        continue;
+      }
       if (response.reset) {
         break;
       }
@@ -271,6 +286,7 @@
     }
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->channels.erase(fd);
+    this->muted.erase(fd);
     close(fd);
   }
 
@@ -280,7 +296,7 @@
   std::atomic<bool> open{false};
   std::thread acceptor;
   std::mutex mutex;
-  std::set<int> channels;
+  std::set<int> channels, muted;
 };
 
 /// One call on a new channel. Status 0: no connection, -1: no answer.
@@ -622,6 +638,7 @@
   std::int64_t stop_ms = 900, gang_ms = 3000, max_hold_ms = 10000, checkpoint_ms = 1000, heartbeat_ms = 1100;
 };
 
+inline int FreePort();
 class World;
 
 class Worker {
@@ -729,6 +746,7 @@
     w->draining = false;
     w->up = true;
     if (!w->server) {
+      w->port = w->port != 0 ? w->port : FreePort();
       w->server = std::make_unique<Server>([this, w](const Request& r) { return this->Handle(w, r); }, w->port);
       w->port = w->server->port();
     }
@@ -1207,16 +1225,22 @@
 
 // ---- The project's processes ------------------------------------------------------------------
 
+/// \returns a free port below those that the system gives to channels, so that none takes it meanwhile.
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
-  socklen_t size = sizeof a;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
-  close(fd);
-  return ntohs(a.sin_port);
+  static std::mt19937 random(static_cast<unsigned>(getpid()) * 2654435761U + static_cast<unsigned>(WallMs()));
+  for (;;) {
+    const int port = std::uniform_int_distribution<int>(15000, 31000)(random);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool free = bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    close(fd);
+    if (free) {
+      return port;
+    }
+  }
 }
 
 /// One node: a process of the project with settings of its own, and its own port of the store.
