--- a/review/standin-3/crashes.cpp
+++ b/review/standin-3/crashes.cpp
@@ -1,4 +1,4 @@
-// Workers crash under two submissions whose tasks are sound; see review/11/claim.txt.
+// Workers crash under two submissions whose tasks are sound; see review/12/claim.txt.
 #include "common.hpp"
 
 using namespace lab;
--- a/review/standin-3/lab.hpp
+++ b/review/standin-3/lab.hpp
@@ -717,6 +717,8 @@
   std::map<std::string, std::vector<std::int64_t>> starts;       ///< by task
   std::map<std::string, std::set<std::string>> checkpoints;      ///< by step or task
   std::function<void(Worker*, const std::string&)> on_start;     ///< a task has begun
+  /// How many milliseconds later an order is carried out, which gets no answer then; 0: at once.
+  std::function<std::int64_t(Worker*, const std::string&, const Json&)> late_by;
   std::mt19937_64 random{7};
   std::uint64_t started = 0;
 
@@ -725,8 +727,9 @@
     this->workers.push_back(std::make_unique<Worker>(this, name, zone, rack));
     return this->workers.back().get();
   }
-  /// Starts a life of the worker. With `new_id` it has another id; the address stays.
-  void Boot(Worker* w, bool new_id) {
+  /// Starts a life of the worker. With `new_id` it has another id; the address stays. It reports itself after
+  /// `report_after` ms.
+  void Boot(Worker* w, bool new_id, std::int64_t report_after = 0) {
     const std::lock_guard<std::recursive_mutex> lock(this->mutex);
     if (w->id.empty() || new_id) {
       char text[32];
@@ -752,7 +755,11 @@
     }
     Rec().Line("worker " + w->name + " up as " + w->id + " born " + std::to_string(w->born) + " at " +
                w->server->address());
-    this->Report(w);
+    if (report_after == 0) {
+      this->Report(w);
+    } else {
+      w->last_report = NowMs() - this->bounds.heartbeat_ms + report_after;
+    }
   }
   /// The worker's process dies: nothing runs there any more, and nothing answers.
   void Crash(Worker* w) {
@@ -838,23 +845,32 @@
     if (body.is_discarded()) {
       return Answer(400, Json::object());
     }
+    if (const std::int64_t delay = this->late_by ? this->late_by(w, request.path, body) : 0) {
+      this->CarryLate(w, request.path, body, delay);
+      return {0, "", true, false};
+    }
     const bool order = request.path != "/v1/hold" || body.contains("deadlineMs");
     if (order && w->late > 0 && std::uniform_real_distribution<double>(0, 1)(this->random) < w->late) {
       const std::int64_t delay = std::uniform_int_distribution<std::int64_t>(2000, 12000)(this->random);
-      const std::string id = w->id;
-      std::thread([this, w, request, body, delay, id] {
-        Sleep(delay);
-        std::unique_lock<std::recursive_mutex> lock(this->mutex);
-        if (!this->stop && w->up && w->id == id) {
-          Rec().Line("late order " + request.path + " at " + w->name);
-          this->Carry(w, request.path, body, nullptr);
-        }
-      }).detach();
+      this->CarryLate(w, request.path, body, delay);
       return {0, "", true, false};
     }
     return this->Carry(w, request.path, body, &lock);
   }
 
+  /// Carries an order out later, also if the worker has restarted under its id meanwhile.
+  void CarryLate(Worker* w, const std::string& path, const Json& body, std::int64_t delay) {
+    const std::string id = w->id;
+    std::thread([this, w, path, body, delay, id] {
+      Sleep(delay);
+      std::unique_lock<std::recursive_mutex> lock(this->mutex);
+      if (!this->stop && w->up && !w->cut && w->id == id) {
+        Rec().Line("late order " + path + " at " + w->name);
+        this->Carry(w, path, body, nullptr);
+      }
+    }).detach();
+  }
+
   Response Carry(Worker* w, const std::string& path, const Json& body, std::unique_lock<std::recursive_mutex>* lock) {
     const auto reply = [&](int status, Json fields) {
       fields["clockMs"] = w->Clock();
