End the lease of a former incarnation's deadlines at the first higher token

Causes, one behind the other: 1. A deadline for the former incarnation gives the next one a lease of 10 s. The owner counted with its arrival for 13 s, although the next incarnation had answered a higher token after 0.2 s and does nothing for a lower one. 2. The longest lease, 10.35 s, is over the bound by itself. 3. Tasks that had begun together were all suspects, and each kept the only target left from the others for 3 s.

Change: the bound ends 10.35 s after the first answer to a hold that names the incarnation and has a token above those of all orders to earlier ones; for the incarnation after that all of them count again. A long-running task does not start where over 8.3 s of such a lease may be left, for 7.5 s without a run at most. After 8.5 s without a run it starts also on a target that is kept for a suspect, which is isolated no more. A target that is listed again gets a new token.

PROTOCOL.md: "The worker does nothing for a lower value", and a deadline is taken "from a start that receives `old` or `room`", not `fence`.

--- a/pistachio/process/scheduling/cell.h
+++ b/pistachio/process/scheduling/cell.h
@@ -232,8 +232,8 @@
   /// not reached. Short tasks wait for it; long-running ones do not, as their run has ended with
   /// the incarnation before.
   void CoverInheritedDeadlines(Target* target);
-  /// \returns the latest end of the target's lease when its first complete lists have arrived. They
-  ///   limit the lease from deadlines of earlier owners.
+  /// \returns the latest end of the lease that this owner sets when the target's first complete
+  ///   lists have arrived. They limit the lease from deadlines of earlier owners.
   TimePoint LeaseAtFirstList(Target* target, TimePoint now);
   /// Adds the oldest ended submission to \a batch for deletion if its retention time is over.
   void AddExpiredSubmission(CommitBatch* batch);
@@ -405,7 +405,7 @@
   /// Removes unconfirmed starts that have expired, and sends stops that cancel unwanted ones.
   void CancelUnconfirmedStarts(const TargetId& id, Target* target, TimePoint now);
   void SendHold(Target* target, TimePoint now);
-  /// Computes a new end of a target's lease and moves `lease_expires_at` accordingly.
+  /// Computes a new end of a target's lease and moves `own_lease_expires_at` accordingly.
   /// \returns nothing if the target's clock is unknown or the store has not answered for too long.
   std::optional<TargetTime> ExtendLease(Target* target, TimePoint now);
   /// \returns the end of the lease for the start of a run: the present one if \a resent is set or
@@ -423,6 +423,17 @@
   /// Accounts for a deadline that was sent to an earlier incarnation of the target and arrives at
   /// \a arrival.
   void CoverEarlierDeadlines(Target* target, TimePoint arrival);
+  /// Notes that \a sent was carried out by the incarnation \a answered_by, which has seen its
+  /// token. If no order with a deadline to an earlier incarnation has one as high, the deadlines of
+  /// those set no lease from the answer on.
+  static void NoteRefusalOfEarlierOrders(Target* target, const internal::SentOrder& sent,
+                                         std::uint64_t answered_by);
+  /// \returns the time by which every run on the target has ended unless its lease is extended.
+  static TimePoint LeaseEnd(const Target& target);
+  /// \returns true if a long-running task should not start on the target yet, since it would be
+  ///   without a run for too long if the target were lost.
+  bool AwaitsShorterLease(const Target& target, const Submission& submission, const Task& task,
+                          TimePoint now) const;
   /// \returns true if deadlines that were sent to an earlier incarnation may make the lease end
   ///   later than a deadline that is sent now.
   bool MayHoldLongerLease(const Target& target, TimePoint now) const;
@@ -474,6 +485,8 @@
   void ReleaseKeptTargets(TimePoint now);
   /// \returns true if another target may be kept for a suspected task.
   bool MayIsolate() const;
+  /// Ends the isolation of the suspect that the target is kept for, as another task starts there.
+  void EndIsolation(Target* target);
   /// \returns true if the task has to be started apart from others and may still wait for a target
   ///   where it can be.
   bool WaitsForQuietTarget(const StepSpec& spec, const Task& task, TimePoint now) const;
@@ -622,6 +635,8 @@
   /// \returns the time since a run of the task was last known to exist, counted from the takeover
   ///   of the cell at the earliest; 0 if none is known.
   Duration TimeWithoutRun(const Task& task, TimePoint now) const;
+  /// \returns the same for a task that had a run, else the time since it began to wait.
+  Duration TimeWaiting(const Submission& submission, const Task& task, TimePoint now) const;
   void ReleaseResources(Submission* submission, const TaskKey& key, Task* task);
   /// Stops or requeues all tasks of a gang after one of them has ended.
   void StopGang(Submission* submission, const TaskKey& key, TimePoint now);
@@ -864,9 +879,9 @@
   std::deque<SubmissionId> moved_away_order;     ///< oldest first, to bound the memory
   TimePoint other_cells_seen_at{};               ///< when there was last another cell with an owner
   TimePoint acquired_at{};                       ///< when this process became the owner
-  /// Of targets that were removed from `targets`: the last incarnation and the latest time at which
-  /// a deadline for it may arrive, as long as that may set a lease in a later incarnation.
-  std::map<TargetId, std::pair<std::uint64_t, TimePoint>> deadlines_of_forgotten_targets;
+  /// Targets that were removed from `targets`, as long as a deadline for them may set a lease in a
+  /// later incarnation.
+  std::map<TargetId, internal::ForgottenTarget> forgotten_targets;
   bool is_first_owner = false;         ///< see `SetFirstOwner`
   TimePoint no_owner_at{};             ///< see `InheritAbsence`
   TimePoint ownership_confirmed_at{};  ///< see `ConfirmOwnership`
--- a/pistachio/process/scheduling/cell_crashes.cc
+++ b/pistachio/process/scheduling/cell_crashes.cc
@@ -244,6 +244,18 @@
   }
 }
 
+void Cell::EndIsolation(Target* target) {
+  const TaskKey key = *std::exchange(target->suspect_task, std::nullopt);
+  Submission* submission = this->FindSubmission(key.submission);
+  Task* task = submission == nullptr ? nullptr : submission->FindTask(key);
+  if (task != nullptr && task->crash_record.isolated &&
+      task->incarnation.target == target->entry.id) {
+    // A crash from now on may be due to the other run.
+    task->crash_record.isolated = false;
+    this->MarkDirty(key.submission);
+  }
+}
+
 bool Cell::MayIsolate() const {
   const auto kept =
       std::count_if(this->targets.begin(), this->targets.end(),
--- a/pistachio/process/scheduling/cell_displaced_moves.cc
+++ b/pistachio/process/scheduling/cell_displaced_moves.cc
@@ -115,7 +115,7 @@
     // begin a run in a later incarnation; long-running tasks don't wait for that in their own cell
     // either, see `RunsWithoutLease`.
     const bool knows_token = target.answered && target.reconciled;
-    return knows_token || (all_long_running && now >= target.lease_expires_at);
+    return knows_token || (all_long_running && now >= LeaseEnd(target));
   };
   return this->registrations_current && !this->targets.empty() &&
          std::all_of(this->targets.begin(), this->targets.end(), refuses_starts);
--- a/pistachio/process/scheduling/cell_evacuation.cc
+++ b/pistachio/process/scheduling/cell_evacuation.cc
@@ -147,7 +147,7 @@
   }
   // However many are silent, new work must not take the room that will be needed soon.
   const PreemptionSettings& limits = this->settings.preemption;
-  return target.lease_expires_at - now <= limits.reserve_ahead_of_expiry ||
+  return LeaseEnd(target) - now <= limits.reserve_ahead_of_expiry ||
          (few_silent && (!target.registered || now - target.silent_since >= limits.max_silence));
 }
 
--- a/pistachio/process/scheduling/cell_leases.cc
+++ b/pistachio/process/scheduling/cell_leases.cc
@@ -36,12 +36,12 @@
 }
 
 void Cell::InheritLease(Target* target) {
-  target->lease_expires_at = this->InheritedLeaseExpiry(target->entry.id);
+  target->own_lease_expires_at = this->InheritedLeaseExpiry(target->entry.id);
   const auto long_lease = this->inherited_long_leases.find(target->entry.id);
   if (long_lease != this->inherited_long_leases.end()) {
     target->inherited_deadlines_expire_at = this->acquired_at + long_lease->second;
-    target->lease_expires_at =
-        std::max(target->lease_expires_at, target->inherited_deadlines_expire_at);
+    target->own_lease_expires_at =
+        std::max(target->own_lease_expires_at, target->inherited_deadlines_expire_at);
   }
 }
 
@@ -67,7 +67,8 @@
   target->inherited_deadlines_expire_at =
       this->LeaseExpiry(std::min(now, this->InheritedDeadlinesArriveUntil(*target)),
                         this->settings.max_lease_duration);
-  return std::max(LongLeaseExpiry(*target), this->LeaseExpiry(now, this->settings.lease_duration));
+  return std::max(target->inherited_deadlines_expire_at,
+                  this->LeaseExpiry(now, this->settings.lease_duration));
 }
 
 TargetTime Cell::EstimateClock(const Target& target, TimePoint now, double drift) {
@@ -87,9 +88,9 @@
   const double drift = 1.0 + this->settings.clock_drift;
   target->lease_deadline = std::max(target->lease_deadline.value_or(deadline), deadline);
   const Duration ahead = deadline - *target->clock;
-  target->lease_expires_at =
-      std::max(target->lease_expires_at, target->clock_at + this->settings.clock_margin +
-                                             std::chrono::duration_cast<Duration>(ahead * drift));
+  target->own_lease_expires_at = std::max(target->own_lease_expires_at,
+                                          target->clock_at + this->settings.clock_margin +
+                                              std::chrono::duration_cast<Duration>(ahead * drift));
   return deadline;
 }
 
@@ -126,8 +127,9 @@
              {"unowned-ms", MillisecondsText(now - this->no_owner_at)}});
   for (auto& [id, other] : this->targets) {
     if (!other.answered) {
-      other.lease_expires_at = std::min(
-          other.lease_expires_at, std::max(this->InheritedLeaseExpiry(id), LongLeaseExpiry(other)));
+      other.own_lease_expires_at =
+          std::min(other.own_lease_expires_at,
+                   std::max(this->InheritedLeaseExpiry(id), other.inherited_deadlines_expire_at));
     }
   }
 }
@@ -182,11 +184,24 @@
   const TimePoint arrival = may_arrive_late ? now + this->settings.max_order_delay : now;
   if (sent.incarnation == target->incarnation) {
     target->deadlines_arrive_until = std::max(target->deadlines_arrive_until, arrival);
-  } else {
+    return;
+  }
+  target->earlier_deadlines_arrive_until =
+      std::max(target->earlier_deadlines_arrive_until, arrival);
+  if (!target->refuses_earlier_orders) {
     this->CoverEarlierDeadlines(target, arrival);
   }
 }
 
+void Cell::NoteRefusalOfEarlierOrders(Target* target, const internal::SentOrder& sent,
+                                      std::uint64_t answered_by) {
+  if (!target->refuses_earlier_orders && answered_by == target->incarnation &&
+      sent.token > target->earlier_token) {
+    target->refuses_earlier_orders = true;
+    target->refusal_is_new = true;
+  }
+}
+
 void Cell::CoverEarlierDeadlines(Target* target, TimePoint arrival) {
   if (arrival == TimePoint{}) {
     return;
@@ -194,8 +209,10 @@
   target->earlier_deadlines_expire_at =
       std::max(target->earlier_deadlines_expire_at,
                this->LeaseExpiry(arrival, this->settings.max_lease_duration));
-  target->lease_expires_at =
-      std::max(target->lease_expires_at, target->earlier_deadlines_expire_at);
+}
+
+TimePoint Cell::LeaseEnd(const Target& target) {
+  return std::max(target.own_lease_expires_at, target.earlier_deadlines_expire_at);
 }
 
 TimePoint Cell::LongLeaseExpiry(const Target& target) {
@@ -204,12 +221,18 @@
 
 const char* Cell::LeaseSource(const Target& target) {
   const TimePoint long_lease = LongLeaseExpiry(target);
-  if (long_lease != TimePoint{} && long_lease >= target.lease_expires_at) {
+  if (long_lease != TimePoint{} && long_lease >= LeaseEnd(target)) {
     return "former-incarnation";
   }
   return target.answered ? "own" : "inherited";
 }
 
+bool Cell::AwaitsShorterLease(const Target& target, const Submission& submission, const Task& task,
+                              TimePoint now) const {
+  return LongLeaseExpiry(target) - now > this->settings.max_lease_at_long_running_start &&
+         this->TimeWaiting(submission, task, now) < this->settings.max_safe_time_without_run;
+}
+
 bool Cell::MayHoldLongerLease(const Target& target, TimePoint now) const {
   return LongLeaseExpiry(target) > this->LeaseExpiry(now, this->settings.lease_duration);
 }
@@ -234,9 +257,14 @@
     if (std::exchange(target.clock_is_new, false)) {
       target.clock_at = std::max(target.clock_at, now);
     }
+    if (std::exchange(target.refusal_is_new, false)) {
+      target.earlier_deadlines_expire_at =
+          std::min(target.earlier_deadlines_expire_at,
+                   this->LeaseExpiry(now, this->settings.max_lease_duration));
+    }
     if (std::exchange(target.first_list_is_new, false)) {
-      target.lease_expires_at =
-          std::max(target.lease_expires_at, this->LeaseAtFirstList(&target, now));
+      target.own_lease_expires_at =
+          std::max(target.own_lease_expires_at, this->LeaseAtFirstList(&target, now));
     }
   }
 }
@@ -252,7 +280,7 @@
     const bool lost = target.answered && silent &&
                       (stored || now - target.silent_since >= this->settings.bound_after_silence);
     if ((unreached || lost) && !target.tasks.empty() && bounds.size() < kMaxBounds) {
-      bounds[id] = std::max(Duration(0), target.lease_expires_at - now);
+      bounds[id] = std::max(Duration(0), LeaseEnd(target) - now);
     }
   }
   return bounds;
@@ -272,7 +300,8 @@
   for (const auto& [ticket, sent] : this->sent_orders) {
     const auto target = this->targets.find(sent.target);
     const bool open_deadline = sent.has_deadline && target != this->targets.end() &&
-                               sent.incarnation < target->second.incarnation;
+                               sent.incarnation < target->second.incarnation &&
+                               !target->second.refuses_earlier_orders;
     if (open_deadline && !target->second.tasks.empty()) {
       TimePoint& end = ends[sent.target];
       end = std::max(end, latest);
--- a/pistachio/process/scheduling/cell_lists.cc
+++ b/pistachio/process/scheduling/cell_lists.cc
@@ -12,6 +12,7 @@
   }
   const internal::SentOrder& sent = *found;
   target->open_holds--;
+  target->earlier_open_holds -= sent.incarnation < target->incarnation ? 1 : 0;
   const bool is_last = sent.hold_number == target->holds_sent;
   target->hold_in_flight = target->hold_in_flight && !is_last;
   if (reply.status == OrderStatus::kFenced && HasFormerToken(*target, sent)) {
@@ -65,6 +66,7 @@
   }
   this->ConfirmWitness(*target, sent.sent_at, now);
   this->NoteDeadline(target, sent, reply.status, now);
+  this->NoteRefusalOfEarlierOrders(target, sent, reply.incarnation);
   if (sent.token == target->token && !target->token_outdated) {
     target->token_unconfirmed = false;
   }
@@ -100,14 +102,14 @@
   if (!target->reconciled && complete) {
     target->reconciled = true;
     target->first_list_is_new = true;
-    target->lease_expires_at = this->LeaseAtFirstList(target, now);
+    target->own_lease_expires_at = this->LeaseAtFirstList(target, now);
     this->Log(EventCode::kTargetReconciled,
               {{"cell", this->cell_id.str()},
                {"target", target->entry.id.str()},
                {"born", std::to_string(target->incarnation)},
                {"runs", std::to_string(reply.running.size())},
                {"known-ms", MillisecondsText(now - target->known_since)},
-               {"lease-ms", MillisecondsText(target->lease_expires_at - now)},
+               {"lease-ms", MillisecondsText(LeaseEnd(*target) - now)},
                {"lease", LeaseSource(*target)}});
     this->schedule_due = true;
   }
--- a/pistachio/process/scheduling/cell_preemption.cc
+++ b/pistachio/process/scheduling/cell_preemption.cc
@@ -128,7 +128,7 @@
     return false;
   }
   if (target->entry.state != TargetState::kDraining) {
-    return target->lease_expires_at - now <= this->settings.preemption.ahead_of_expiry &&
+    return LeaseEnd(*target) - now <= this->settings.preemption.ahead_of_expiry &&
            !this->ManyRegisteredTargetsSilent();
   }
   const Duration time_left = target->entry.drain_remaining - (now - target->draining_since);
--- a/pistachio/process/scheduling/cell_schedule.cc
+++ b/pistachio/process/scheduling/cell_schedule.cc
@@ -335,11 +335,17 @@
   const bool urgent = this->QueueOf(submission).priority == 0;
   // A gang of more tasks than the bound would never start.
   const bool bound_on_return = !urgent && !spec.gang && !(spec.long_running && task.run_seen_at);
+  // Each suspect would keep its target for seconds, and the tasks of a lost target wait together.
+  const bool shares = spec.long_running && this->TimeWithoutRun(task, now) >=
+                                               this->settings.crash.max_quiet_time_without_run;
   Target* best = nullptr;
   double best_score = 0.0;
   this->blocked_by_harm = false;
   for (auto& [id, target] : this->targets) {
-    const bool kept_for_other = target.suspect_task && target.suspect_task != key;
+    const bool kept_for_other = target.suspect_task && target.suspect_task != key && !shares;
+    if (spec.long_running && this->AwaitsShorterLease(target, submission, task, now)) {
+      continue;
+    }
     if (kept_for_other || !AllowsStart(binding, id) ||
         (bound_on_return && !this->return_limit.MayStart(target.entry.data_centre)) ||
         !this->MayRunOn(target, spec, service, now)) {
@@ -400,6 +406,9 @@
   task->percent = 0.0;
   submission->occurrences.at(key.occurrence).steps[key.step].waiting--;
   submission->started = true;
+  if (target->suspect_task && target->suspect_task != key) {
+    this->EndIsolation(target);
+  }
   if (task->crash_record.suspect) {
     task->crash_record.isolated =
         (target->suspect_task == key || this->MayIsolate()) && this->IsQuiet(*target, key, now);
@@ -412,8 +421,8 @@
   this->UpdateLoad(target, key, submission->Step(key.step), 1);
   // The lease of an idle target may have expired. The start extends it, but is sent only after the
   // commit.
-  target->lease_expires_at =
-      std::max(target->lease_expires_at, now + this->settings.max_commit_time);
+  target->own_lease_expires_at =
+      std::max(target->own_lease_expires_at, now + this->settings.max_commit_time);
   target->health.OnAssigned(now, this->settings.health);
   this->uncommitted_assignments.emplace_back(key, run);
   this->MarkDirty(key.submission, true);
--- a/pistachio/process/scheduling/cell_targets.cc
+++ b/pistachio/process/scheduling/cell_targets.cc
@@ -22,13 +22,18 @@
     target.token = this->TokenOfNewTarget();
     this->InheritLease(&target);
     target.incarnation = entry.incarnation;
-    const auto open_deadlines = this->deadlines_of_forgotten_targets.find(entry.id);
-    if (open_deadlines != this->deadlines_of_forgotten_targets.end()) {
-      const auto& [incarnation, arrive_until] = open_deadlines->second;
-      if (incarnation == entry.incarnation) {
+    const auto forgotten = this->forgotten_targets.find(entry.id);
+    if (forgotten != this->forgotten_targets.end()) {
+      const TimePoint arrive_until = forgotten->second.deadlines_arrive_until;
+      if (forgotten->second.incarnation == entry.incarnation) {
         target.deadlines_arrive_until = arrive_until;
       } else {
+        target.earlier_token = forgotten->second.token;
+        target.earlier_deadlines_arrive_until = arrive_until;
         this->CoverEarlierDeadlines(&target, arrive_until);
+        target.token_outdated = target.token <= target.earlier_token;
+        target.announces_token = target.token_outdated;
+        this->RaiseToken(&target, now);
       }
     }
     target.known_since = entry.known_since;
@@ -135,15 +140,24 @@
   target->incarnation = incarnation;
   target->address_reused = false;
   target->known_since = now;
-  // Orders made since the restart was seen carry a token that no earlier incarnation got.
+  // Orders made since the restart was seen carry a token that no earlier incarnation got, and no
+  // deadline, as the clock is not known.
   const bool token_is_new = target->restart_seen && !target->token_outdated;
+  if (target->token_used && !token_is_new) {
+    target->earlier_token = target->token;
+  }
   target->token_outdated = target->token_outdated || (target->token_used && !token_is_new);
   target->announces_token = target->token_outdated;
   target->restart_seen = false;
   this->RaiseToken(target, now);
   ForgetClock(target);
-  this->CoverEarlierDeadlines(target, target->deadlines_arrive_until);
+  // Those for the incarnations before the last one may arrive at this one as well.
+  target->earlier_deadlines_arrive_until =
+      std::max(target->earlier_deadlines_arrive_until, target->deadlines_arrive_until);
   target->deadlines_arrive_until = TimePoint{};
+  target->refuses_earlier_orders = false;
+  target->refusal_is_new = false;
+  this->CoverEarlierDeadlines(target, target->earlier_deadlines_arrive_until);
   this->CoverInheritedDeadlines(target);
   target->reconciled = false;
   target->last_seen_end = 0;
@@ -153,7 +167,9 @@
   target->next_ack_at = now;
   target->foreign_ends.clear();
   target->failed_holds = 0;
-  // Holds to the earlier incarnation tell nothing of this one if they get no answer.
+  // Holds to the earlier incarnation tell nothing of this one if they get no answer, and occupy
+  // none of its connections.
+  target->earlier_open_holds = target->open_holds;
   target->hold_in_flight = false;
   target->unanswered_holds = 0;
   target->first_open_hold = target->holds_sent + 1;
@@ -178,6 +194,9 @@
   target->restart_seen = true;
   target->restart_seen_at_hold = target->holds_sent;
   ForgetClock(target);
+  if (target->token_used) {
+    target->earlier_token = target->token;
+  }
   target->token_outdated = target->token_outdated || target->token_used;
   target->announces_token = target->token_outdated;
   this->RaiseToken(target, now);
@@ -296,10 +315,9 @@
     return open;
   }
   const Task& task = *submission->second.FindTask(key);
-  const Duration without_run =
-      task.run_seen_at ? this->TimeWithoutRun(task, now) : now - task.phase_since;
-  const bool overdue = submission->second.Step(key.step).long_running &&
-                       without_run >= this->settings.max_wait_for_open_start;
+  const bool overdue =
+      submission->second.Step(key.step).long_running &&
+      this->TimeWaiting(submission->second, task, now) >= this->settings.max_safe_time_without_run;
   return overdue ? std::vector<TargetId>() : open;
 }
 
@@ -388,29 +406,29 @@
 void Cell::ExpireLeases(TimePoint now) {
   std::vector<TargetId> removable;
   for (auto& [id, target] : this->targets) {
-    if (now >= target.lease_expires_at) {
+    if (now >= LeaseEnd(target)) {
       this->RequeueLostRuns(&target, this->RunsWithoutLease(target, now), now,
                             internal::kLeaseExpired);
       target.orphaned_runs.clear();
     }
     if (!target.registered && target.tasks.empty() && target.unconfirmed_starts.empty() &&
-        target.open_holds == 0 && now >= target.lease_expires_at) {
+        target.open_holds == 0 && now >= LeaseEnd(target)) {
       removable.push_back(id);
     }
   }
   for (const TargetId& id : removable) {
     const Target& target = this->targets.at(id);
-    if (target.deadlines_arrive_until != TimePoint{}) {
-      this->deadlines_of_forgotten_targets[id] = {target.incarnation,
-                                                  target.deadlines_arrive_until};
+    const TimePoint arrive_until =
+        std::max(target.deadlines_arrive_until, target.earlier_deadlines_arrive_until);
+    if (arrive_until != TimePoint{}) {
+      this->forgotten_targets[id] = {target.incarnation, arrive_until, target.token};
     }
     this->targets.erase(id);
   }
-  for (auto entry = this->deadlines_of_forgotten_targets.begin();
-       entry != this->deadlines_of_forgotten_targets.end();) {
-    const TimePoint arrive_until = entry->second.second;
+  for (auto entry = this->forgotten_targets.begin(); entry != this->forgotten_targets.end();) {
+    const TimePoint arrive_until = entry->second.deadlines_arrive_until;
     const bool expired = now >= this->LeaseExpiry(arrive_until, this->settings.max_lease_duration);
-    entry = expired ? this->deadlines_of_forgotten_targets.erase(entry) : std::next(entry);
+    entry = expired ? this->forgotten_targets.erase(entry) : std::next(entry);
   }
 }
 
@@ -446,7 +464,7 @@
   const bool is_needed_witness = this->IsNeededWitness(*target, now);
   // A further hold while others are in flight only asks for the lists.
   const bool further = target->hold_in_flight;
-  // ExtendLease() moves `lease_expires_at` before the hold is answered, because the target may
+  // ExtendLease() moves `own_lease_expires_at` before the hold is answered, because the target may
   // extend its lease although its answer gets lost. After a failed hold, further holds carry no
   // deadline until one succeeds. Otherwise the lease of a silent target would never count as
   // expired.
@@ -465,8 +483,9 @@
   const bool uncommitted = target->last_seen_end > target->last_durable_end;
   // The lease of a target with a lease bound is to be extended as soon as the bound is removed.
   const bool may_wait = target->reconciled && !uncommitted && !ack_due &&
-                        target->failed_holds == 0 && !further &&
+                        target->failed_holds == 0 && !further && !target->list_due &&
                         !this->HasLeaseBound(target->entry.id);
+  target->list_due = false;
   if (may_wait) {
     const bool near_bound = !target->load.best_effort.empty() &&
                             ReportedTailRatio(target->load.serving) >
@@ -530,8 +549,8 @@
     this->CancelUnconfirmedStarts(id, &target, now);
     this->StopOrphanedRuns(&target, now);
     const TimePoint due_at = target.hold_in_flight ? target.further_hold_at : target.next_hold_at;
-    const bool too_many =
-        target.hold_in_flight && target.open_holds >= this->settings.max_open_holds;
+    const bool too_many = target.hold_in_flight && target.open_holds - target.earlier_open_holds >=
+                                                       this->settings.max_open_holds;
     if (target.entry.address.empty() || now < due_at || too_many) {
       continue;
     }
--- a/pistachio/process/scheduling/cell_tasks.cc
+++ b/pistachio/process/scheduling/cell_tasks.cc
@@ -391,8 +391,12 @@
     // The run can no longer start. Holds sent from now on show whether it is still ending.
     task->absent_after_hold = std::min(task->absent_after_hold, target->holds_sent);
     task->retry_at = now + this->settings.stop_timeout + this->settings.order_timeout;
+    // If the run has not begun, no end of it makes the target answer a long poll.
+    target->list_due = target->list_due || !task->reported;
     if (!target->hold_in_flight) {
       target->next_hold_at = now;
+    } else if (target->list_due) {
+      target->further_hold_at = now;
     }
     return;
   }
@@ -416,6 +420,11 @@
   return task.run_seen_at ? now - (unknown ? this->acquired_at : *task.run_seen_at) : Duration{0};
 }
 
+Duration Cell::TimeWaiting(const Submission& submission, const Task& task, TimePoint now) const {
+  return task.run_seen_at ? this->TimeWithoutRun(task, now)
+                          : now - std::max(task.phase_since, submission.arrived_at);
+}
+
 void Cell::Requeue(Submission* submission, const TaskKey& key, Task* task, const char* cause,
                    TimePoint now) {
   if (!task->HoldsResources()) {
--- a/pistachio/process/scheduling/cell_types.h
+++ b/pistachio/process/scheduling/cell_types.h
@@ -69,6 +69,10 @@
   /// must run elsewhere 6 s after it exits, and only the expiry of the lease proves that they have
   /// ended. It still exceeds the takeover of a cell.
   Duration draining_lease_duration = std::chrono::milliseconds(4000);
+  /// A long-running task does not start on a target whose lease from deadlines for earlier
+  /// incarnations may last longer than this. If the target is then lost, the task runs again only
+  /// after that lease, and has to within 9 s.
+  Duration max_lease_at_long_running_start = std::chrono::milliseconds(8300);
   /// A start extends the lease of its target only if less than this time is left of it. Until then,
   /// a hold that gets lost can be sent again.
   Duration min_lease_at_start = std::chrono::milliseconds(4000);
@@ -122,9 +126,10 @@
   Duration max_order_delay = std::chrono::seconds(13);
   /// Longest time until an owner that reaches the store has seen a new registration.
   Duration max_registration_delay = std::chrono::seconds(2);
-  /// Time without a run after which a long-running task starts elsewhere, although a target may
-  /// still carry out an earlier start of it. The task has to run again within 9 s of its last run.
-  Duration max_wait_for_open_start = std::chrono::milliseconds(7500);
+  /// Time without a run after which a long-running task starts elsewhere although a target may
+  /// still carry out an earlier start of it, or on a target with a longer lease. The task has to
+  /// run again within 9 s of its last run.
+  Duration max_safe_time_without_run = std::chrono::milliseconds(7500);
   /// After that many runs in a row without an answer to a start, a task waits until none of them
   /// can arrive and then starts elsewhere. A target that does not restart may answer holds and no
   /// start.
@@ -340,12 +345,21 @@
   TimePoint answered_at{};
   /// Latest end of the lease that an order has set, on the target's clock.
   std::optional<TargetTime> lease_deadline;
-  TimePoint lease_expires_at{};  ///< every run on the target has ended by then unless extended
+  /// Every run on the target has ended by then, unless extended or by a longer lease from this
+  /// owner's deadlines for earlier incarnations, see `Cell::LeaseEnd`.
+  TimePoint own_lease_expires_at{};
   /// Latest time at which a deadline that was sent to the incarnation may arrive.
   TimePoint deadlines_arrive_until{};
-  /// Latest end of a lease that the incarnation takes from a deadline sent to an earlier one. The
-  /// clock starts anew in each incarnation, so such a deadline may lie far ahead.
+  /// Latest time at which a deadline that was sent to an earlier incarnation may arrive.
+  TimePoint earlier_deadlines_arrive_until{};
+  /// Latest end of a lease that the incarnation takes from such a deadline. The clock starts anew
+  /// in each incarnation, so the deadline may lie far ahead.
   TimePoint earlier_deadlines_expire_at{};
+  /// Highest token of the orders with a deadline to earlier incarnations.
+  FencingToken earlier_token = 0;
+  /// The incarnation has answered an order with a higher token, so that it refuses those orders.
+  bool refuses_earlier_orders = false;
+  bool refusal_is_new = false;  ///< there was no `Tick` since that answer
   /// The same for deadlines that earlier owners have sent.
   TimePoint inherited_deadlines_expire_at{};
   /// An incarnation of the target has answered this owner, which may have extended its lease since.
@@ -355,7 +369,10 @@
   /// None of the holds sent since the last usable answer has one yet, and the last of them has not
   /// failed.
   bool hold_in_flight = false;
-  std::size_t open_holds = 0;           ///< holds without an answer that have not timed out
+  std::size_t open_holds = 0;          ///< holds without an answer that have not timed out
+  std::size_t earlier_open_holds = 0;  ///< those of them to earlier incarnations
+  /// A list decides whether a run that was stopped had begun. The next hold asks for it at once.
+  bool list_due = false;
   TimePoint next_hold_at{};             ///< earliest time of the next hold if none is in flight
   TimePoint further_hold_at{};          ///< time of the next hold while one is in flight
   std::uint32_t unanswered_holds = 0;   ///< holds sent since the last usable answer
@@ -412,6 +429,13 @@
   }
 };
 
+/// What is kept of a target that is no longer listed and has no runs.
+struct ForgottenTarget {
+  std::uint64_t incarnation = 0;
+  TimePoint deadlines_arrive_until{};  ///< of this and earlier incarnations
+  FencingToken token = 0;              ///< highest of all orders
+};
+
 /// A run that a target was lost under. Whether the target has crashed is not known yet.
 struct LostRun {
   TaskKey task;
--- a/pistachio/process/scheduling/crash_blame.h
+++ b/pistachio/process/scheduling/crash_blame.h
@@ -20,8 +20,9 @@
   /// Replaces `max_quiet_wait` for a task with `min_crashes` losses or more. One further crash that
   /// another task causes may give it up.
   Duration max_quiet_wait_after_losses = std::chrono::milliseconds(6000);
-  /// Time without a run after which a long-running task does not wait for such a target either. A
-  /// lease expires after 7.8 s, and the task has to run again within 9 s.
+  /// Time without a run after which a long-running task does not wait for such a target either, and
+  /// starts also on one that is kept for another suspect. A lease expires after 7.8 s, and the task
+  /// has to run again within 9 s.
   Duration max_quiet_time_without_run = std::chrono::milliseconds(8500);
   /// Largest fraction of the targets that are kept for suspected tasks at the same time.
   double max_isolated_share = 0.25;
--- a/tests/scheduling/takeover_restart_test.cc
+++ b/tests/scheduling/takeover_restart_test.cc
@@ -150,13 +150,23 @@
     }
   }
   fixture.incarnations["t1"] = kNextIncarnation;
+  fixture.silent.insert("t1");
   fixture.PutTarget("t1");
-  fixture.Submit("00000000000000a2", ShortStep({1000, 100, 0}));
   fixture.Run(milliseconds(500));
-  REQUIRE(fixture.starts.count("00000000000000a2.0.0.0") == 1);
   REQUIRE(fixture.stored_leases.long_leases.count(TargetId("t1")) == 1);
   const Duration left = fixture.stored_leases.long_leases.at(TargetId("t1"));
   CHECK(left.count() >= (kLongestOrderDelay + kLongestLease - seconds(1)).count());
+  // The next incarnation has answered an order with a higher token. From then on it refuses the
+  // hold.
+  fixture.silent.clear();
+  fixture.Run(milliseconds(50));
+  fixture.Submit("00000000000000a2", ShortStep({1000, 100, 0}));
+  fixture.Run(milliseconds(500));
+  REQUIRE(fixture.starts.count("00000000000000a2.0.0.0") == 1);
+  REQUIRE(fixture.stored_leases.long_leases.count(TargetId("t1")) == 1);
+  const Duration left_after_answer = fixture.stored_leases.long_leases.at(TargetId("t1"));
+  CHECK(left_after_answer.count() >= (kLongestLease - seconds(1)).count());
+  CHECK(left_after_answer.count() < (kLongestLease + seconds(1)).count());
 }
 
 // The run ended with the incarnation that the record names, and a long-running task is not kept for
