Describe the new log fields in the event catalogue

Cause: docs/EVENTS.md named open-start-at and why=open-start, but is generated from the catalogue, which did not.

Change: the texts stand in the catalogue. The generated page is unchanged.

--- a/pistachio/process/runtime/events/task_events.cc
+++ b/pistachio/process/runtime/events/task_events.cc
@@ -31,7 +31,8 @@
        "target if the event repeats."},
       {EventCode::kTaskRequeued, Severity::kInfo, "task-requeued",
        "A task waits for its next run; the cause says how the last one ended, without-run-ms how "
-       "long ago the run was last known to exist."},
+       "long ago the run was last known to exist, open-start-at which target may still carry out a "
+       "start of the task; until it cannot, the next run starts only there."},
       {EventCode::kSubmissionCancelled, Severity::kInfo, "submission-cancelled",
        "The owner has read the caller's request to cancel a submission and stops what still runs "
        "of it. `from` says where it has read it: in its inbox, as its own request, or when it "
@@ -92,7 +93,8 @@
        "most. `why` says what it waits for: `quiet-target` (its last target crashed beside it), "
        "`reserved-place` (short tasks on the target named), `no-place` (no target could take it "
        "even without its short tasks), `commit`, `start` (no answer yet), `registrations`, "
-       "`orphaned-run` or `move`. without-run-ms counts from the end of the lease of a run whose "
+       "`orphaned-run`, `open-start` (another target may still carry out a start of it) or `move`. "
+       "without-run-ms counts from the end of the lease of a run whose "
        "target was lost, unreached-ms from when that target was last in reach. The fields give its "
        "processors, the most that any target has free, and the most that any has free of "
        "long-running work. `ruled-out` counts the targets by what rules them out even without "
